Run on the operators' platform: search by return, an agent as a gate

Cause: the platform tells flows apart by the servers themselves, which return packets of flows that they do not hold; nothing of today spoke its packets, store or check-ins.

Lines wait in a buffer and are dropped, not blocked on, when nobody reads.

--- /dev/null
+++ b/include/briarfield/dispatch/agent_directory.hpp
@@ -0,0 +1,122 @@
+#ifndef BRIARFIELD_DISPATCH_AGENT_DIRECTORY_HPP
+#define BRIARFIELD_DISPATCH_AGENT_DIRECTORY_HPP
+
+#include "briarfield/core/clock.hpp"
+#include "briarfield/core/endpoint.hpp"
+#include "briarfield/dispatch/flow_packet.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace briarfield
+{
+
+/// \brief What an agent says of its backend server.
+enum class server_state : std::uint8_t
+{
+    unknown,  ///< The server has not announced itself yet.
+    ready,    ///< Takes new flows.
+    draining, ///< Keeps its flows, gets no new ones.
+    gone,     ///< Ended.
+    count_
+};
+
+/// \brief Label of \a state in logs and metrics.
+std::string_view server_state_name(server_state state) noexcept;
+
+/// \brief A heartbeat of an agent: its server's state and load.
+struct agent_status
+{
+    endpoint data;                 ///< Where the agent takes frames.
+    std::uint64_t incarnation = 0; ///< Differs with each start of the agent.
+    std::uint64_t sequence = 0;    ///< Grows with each heartbeat.
+    std::string service;
+    std::string zone;
+    server_state state = server_state::unknown;
+    std::uint32_t slots = 1;     ///< Requests that the server works on at once.
+    std::uint32_t flows = 0;     ///< Open flows.
+    float busy = 0;              ///< Requests in progress, on average.
+    std::uint32_t warmup_ms = 0; ///< How long the server stays slow.
+};
+
+/// \brief Position of an agent in an \ref agent_directory; never reused.
+using agent_index = std::uint16_t;
+
+/// \brief No agent.
+constexpr agent_index no_agent = 0xffff;
+
+/// \brief What a balancer knows of the agents, from their heartbeats.
+class agent_directory
+{
+public:
+    /// \brief How long what was heard of an agent counts.
+    struct options
+    {
+        /// A few heartbeats may be lost before new flows avoid the agent.
+        duration fresh_for = std::chrono::milliseconds(1100);
+        /// An agent that restarts within this time may still hold flows.
+        duration known_for = std::chrono::seconds(15);
+    };
+
+    /// \brief An agent and what came with its last heartbeat.
+    struct record
+    {
+        agent_status status;
+        service_tag tag = 0;
+        time_point heard{};
+        std::uint64_t replaced_incarnation = 0; ///< The one before; ignored.
+        std::uint32_t placed = 0; ///< Flows placed since the last heartbeat.
+        bool reported_lost = false;
+    };
+
+    explicit agent_directory(const clock& c) : agent_directory(c, options()) {}
+    agent_directory(const clock& c, options opts) : clock_(&c), options_(opts)
+    {
+    }
+
+    /// \brief Takes a heartbeat; false if it is older than what is known.
+    bool take(const agent_status& status);
+
+    /// \brief Position of the agent that takes packets at \a data.
+    agent_index find(const endpoint& data) const;
+
+    const record& at(agent_index i) const { return records_[i]; }
+
+    /// \brief Whether the agent was heard of lately.
+    bool fresh(agent_index i) const;
+
+    /// \brief Whether the agent may still hold flows.
+    bool known(agent_index i) const;
+
+    /// \brief Whether the agent's server takes new flows of service \a tag.
+    bool takes_flows(agent_index i, service_tag tag) const;
+
+    /// \brief Notes a flow placed on \a i until its next heartbeat.
+    void note_placed(agent_index i) { ++records_[i].placed; }
+
+    std::size_t size() const { return records_.size(); }
+
+    /// \brief Reports agents that went silent through \ref on_silent.
+    void check();
+
+    /// \brief Agent heard for the first time, anew, or in another state.
+    std::function<void(const record&)> on_change;
+
+    /// \brief Agent that was not heard of for options::fresh_for.
+    std::function<void(const record&, duration silence)> on_silent;
+
+private:
+    const clock* clock_;
+    options options_;
+    std::vector<record> records_;
+    std::unordered_map<endpoint, agent_index, endpoint_hash> by_data_;
+};
+
+} // namespace briarfield
+
+#endif
--- /dev/null
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -0,0 +1,161 @@
+#ifndef BRIARFIELD_DISPATCH_FLOW_DISPATCHER_HPP
+#define BRIARFIELD_DISPATCH_FLOW_DISPATCHER_HPP
+
+#include "briarfield/core/counter_set.hpp"
+#include "briarfield/dispatch/agent_directory.hpp"
+#include "briarfield/dispatch/flow_locator.hpp"
+#include "briarfield/dispatch/placement.hpp"
+#include "briarfield/dispatch/route_table.hpp"
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace briarfield
+{
+
+/// \brief What became of a packet at a balancer; one counter each.
+enum class dispatch_event : std::uint8_t
+{
+    placed,              ///< A new flow got a server.
+    placed_again,        ///< Its first server did not take it.
+    forwarded,           ///< To the server that has the flow.
+    searched,            ///< To a server that may have the flow.
+    refused_no_server,   ///< Reset: no server takes new flows.
+    refused_no_route,    ///< Reset: no route to the address.
+    reset_route_removed, ///< Reset: the flow's route was removed.
+    reset_not_found,     ///< Reset: no server has the flow.
+    dropped_no_route,    ///< The route may be newer than ours.
+    dropped_no_routes,   ///< No configuration yet.
+    dropped_settling,    ///< Too little is known to refuse anything.
+    dropped_not_found,   ///< No server has the flow, but that is not certain.
+    dropped_reset,       ///< A caller's reset of an unknown flow.
+    count_
+};
+
+/// \brief Label of \a event in logs and metrics.
+std::string_view dispatch_event_name(dispatch_event event) noexcept;
+
+/// \brief What to do with the packet in hand.
+struct dispatch_verdict
+{
+    enum class action : std::uint8_t
+    {
+        drop,
+        forward,
+        reset
+    };
+
+    action what = action::drop;
+    dispatch_event event = dispatch_event::dropped_no_routes;
+    agent_index agent = no_agent; ///< For action::forward.
+    forward_note note;            ///< For action::forward.
+    std::uint32_t reset_sequence = 0;
+};
+
+/// \brief The balancer's decision for each packet, free of I/O.
+///
+/// A backend server itself tells whether it has a flow: it returns packets of
+/// flows that it does not have. So a balancer needs no authority on flows. It
+/// places each new flow on a server of its choice, remembers where, and asks
+/// one server after the other about a flow that it does not know.
+///
+/// A packet is only refused when nothing of its flow can be running: an
+/// opening that no server took, or a flow that every known server denied in
+/// two rounds, by a balancer that has heard of all agents for a while.
+class flow_dispatcher
+{
+public:
+    /// \brief Delays of the decisions.
+    struct options
+    {
+        std::string zone; ///< Of this balancer.
+        /// Agents send several heartbeats in that time, so that all are known.
+        duration settle = std::chrono::milliseconds(1500);
+        /// Nothing that may be a flow is reset earlier after the start.
+        duration reset_settle = std::chrono::seconds(3);
+        /// A server that does not answer a search for so long is passed over.
+        duration search_patience = std::chrono::milliseconds(120);
+        /// An opening without an answer for so long goes to another server.
+        duration opening_patience = std::chrono::milliseconds(150);
+        /// Least time between the first fruitless search and a reset; a
+        /// heartbeat of an agent that was not known arrives in that time.
+        duration reset_delay = std::chrono::milliseconds(350);
+        /// Packets of a lost flow start a new search only after this.
+        duration search_pause = std::chrono::milliseconds(150);
+        /// Flows without a packet for so long are forgotten.
+        duration idle = std::chrono::seconds(20);
+    };
+
+    flow_dispatcher(const clock& c,
+                    options opts,
+                    const route_table& routes,
+                    agent_directory& agents,
+                    placement_policy policy);
+
+    /// \brief Decides on a packet of a caller.
+    dispatch_verdict on_caller_packet(const flow_packet& p);
+
+    /// \brief Decides on a packet that \a from gave back.
+    dispatch_verdict on_returned_packet(const flow_packet& p,
+                                        const endpoint& from,
+                                        return_reason reason);
+
+    /// \brief Notes that the server of \a from has the flow.
+    void on_flow_held(const flow_key& key, const endpoint& from);
+
+    /// \brief Forgets idle flows; to be called now and then.
+    void expire();
+
+    const counter_set<dispatch_event>& counters() const { return counters_; }
+
+    std::size_t flows() const { return flows_.size(); }
+
+    /// \brief Called for each decision that a person may ask about: all but
+    /// packets that go to a known server.
+    std::function<void(const flow_packet&, const dispatch_verdict&)>
+        on_decision;
+
+    /// \brief Called when a flow that was searched for has been found.
+    std::function<void(const flow_key&, agent_index, std::size_t tried)>
+        on_found;
+
+private:
+    dispatch_verdict open(const flow_packet& p);
+    dispatch_verdict place(const flow_packet& p, flow_location& where);
+    agent_index choose(const route_table::entry& route,
+                       const flow_key& key,
+                       const flow_location& where,
+                       service_tag& service);
+    agent_index choose_in(service_tag service,
+                          std::uint64_t hash,
+                          const flow_location& where);
+    dispatch_verdict without_route(const flow_packet& p);
+    dispatch_verdict lead(const flow_packet& p, flow_location& where);
+    dispatch_verdict search(const flow_packet& p, flow_location& where);
+    dispatch_verdict give_up(const flow_packet& p, flow_location& where);
+    bool certainly_gone(const flow_location& where) const;
+    agent_index next_to_ask(const flow_key& key,
+                            const flow_location& where) const;
+    dispatch_verdict
+    forward(dispatch_event event, agent_index agent, forward_note note);
+    dispatch_verdict reset(const flow_packet& p, dispatch_event event);
+    dispatch_verdict drop(dispatch_event event);
+    dispatch_verdict report(const flow_packet& p, const dispatch_verdict& v);
+    bool settled(duration needed) const;
+
+    const clock* clock_;
+    options options_;
+    const route_table* routes_;
+    agent_directory* agents_;
+    placement_policy policy_;
+    flow_locator flows_;
+    counter_set<dispatch_event> counters_;
+    time_point started_;
+    std::vector<placement_candidate> candidates_; ///< Reused by choose_in.
+};
+
+} // namespace briarfield
+
+#endif
--- /dev/null
+++ b/include/briarfield/dispatch/load_gauge.hpp
@@ -0,0 +1,62 @@
+#ifndef BRIARFIELD_DISPATCH_LOAD_GAUGE_HPP
+#define BRIARFIELD_DISPATCH_LOAD_GAUGE_HPP
+
+#include "briarfield/core/clock.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace briarfield
+{
+
+/// \brief Mean number of requests in progress, weighted towards now.
+class load_gauge
+{
+public:
+    /// \brief Time after which an observation counts 1/e.
+    static constexpr duration memory = std::chrono::milliseconds(600);
+
+    explicit load_gauge(const clock& c) : clock_(&c), last_(c.now()) {}
+
+    void begin_request()
+    {
+        settle();
+        ++in_progress_;
+    }
+
+    void end_request()
+    {
+        settle();
+        in_progress_ = std::max(0, in_progress_ - 1);
+    }
+
+    /// \brief Requests in progress now.
+    int in_progress() const { return in_progress_; }
+
+    /// \brief Mean of late.
+    double mean()
+    {
+        settle();
+        return mean_;
+    }
+
+private:
+    void settle()
+    {
+        const time_point now = clock_->now();
+        const double passed = std::chrono::duration<double>(now - last_) /
+                              std::chrono::duration<double>(memory);
+        mean_ = in_progress_ + (mean_ - in_progress_) * std::exp(-passed);
+        last_ = now;
+    }
+
+    const clock* clock_;
+    time_point last_;
+    int in_progress_ = 0;
+    double mean_ = 0;
+};
+
+} // namespace briarfield
+
+#endif
--- /dev/null
+++ b/include/briarfield/dispatch/route_table.hpp
@@ -0,0 +1,91 @@
+#ifndef BRIARFIELD_DISPATCH_ROUTE_TABLE_HPP
+#define BRIARFIELD_DISPATCH_ROUTE_TABLE_HPP
+
+#include "briarfield/core/endpoint.hpp"
+#include "briarfield/core/error.hpp"
+#include "briarfield/dispatch/flow_packet.hpp"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace briarfield
+{
+
+/// \brief A service that takes part of a route's new flows.
+struct service_share
+{
+    std::string service;
+    std::uint32_t weight = 1; ///< Relative to the other shares; 0: none.
+};
+
+/// \brief Where new flows to an address go.
+struct dispatch_route
+{
+    endpoint address; ///< Address and port that callers use.
+    std::vector<service_share> shares;
+};
+
+/// \brief All routes of one version of the configuration.
+struct route_set
+{
+    std::uint64_t version = 0;
+    std::vector<dispatch_route> routes;
+};
+
+/// \brief What an address means under the routes in force.
+enum class route_status : std::uint8_t
+{
+    in_force,
+    unknown, ///< No version that was in force here had it.
+    removed  ///< An earlier version had it.
+};
+
+/// \brief The routes in force; versions only move forward.
+class route_table
+{
+public:
+    /// \brief A share of a route, ready for the data path.
+    struct target
+    {
+        service_tag service = 0;
+        std::uint32_t weight = 0;
+    };
+
+    /// \brief Targets of a route.
+    struct entry
+    {
+        std::vector<target> targets;
+        std::uint64_t total_weight = 0;
+
+        /// \brief Target for a flow with hash \a h; the same for each copy
+        /// of its opening. \returns null without a positive weight.
+        const target* pick(std::uint64_t h) const;
+    };
+
+    /// \brief Puts \a routes in force unless they are not newer.
+    ///
+    /// \returns whether they are in force now.
+    bool take(const route_set& routes);
+
+    /// \brief Version in force; 0 before the first.
+    std::uint64_t version() const { return version_; }
+
+    std::size_t size() const { return entries_.size(); }
+
+    /// \brief Entry of \a address, or null.
+    const entry* find(const endpoint& address) const;
+
+    route_status status(const endpoint& address) const;
+
+private:
+    std::uint64_t version_ = 0;
+    std::unordered_map<endpoint, entry, endpoint_hash> entries_;
+    std::unordered_set<endpoint, endpoint_hash> removed_;
+};
+
+} // namespace briarfield
+
+#endif
--- /dev/null
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -0,0 +1,140 @@
+#ifndef BRIARFIELD_DISPATCH_SERVER_GATE_HPP
+#define BRIARFIELD_DISPATCH_SERVER_GATE_HPP
+
+#include "briarfield/core/counter_set.hpp"
+#include "briarfield/dispatch/load_gauge.hpp"
+#include "briarfield/dispatch/server_registration.hpp"
+#include "briarfield/flow/flow_table.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace briarfield
+{
+
+/// \brief What became of a packet at an agent; one counter each.
+enum class gate_event : std::uint8_t
+{
+    delivered,           ///< To the server.
+    offered,             ///< An opening, to the server.
+    answered,            ///< From the server to the caller.
+    accepted,            ///< The server's answer to an opening.
+    given_back,          ///< The server returned it.
+    refused_service,     ///< Opening for another service.
+    refused_draining,    ///< Opening while the server leaves.
+    refused_silent,      ///< Opening while the server is silent.
+    dropped_unknown_tag, ///< Returned, but sent before our start.
+    count_
+};
+
+/// \brief Label of \a event in logs and metrics.
+std::string_view gate_event_name(gate_event event) noexcept;
+
+/// \brief What to do with the packet in hand.
+struct gate_verdict
+{
+    enum class action : std::uint8_t
+    {
+        drop,
+        deliver,   ///< To the server, with \ref tag.
+        give_back, ///< To \ref balancer, with \ref reason.
+        answer     ///< To the caller.
+    };
+
+    action what = action::drop;
+    gate_event event = gate_event::delivered;
+    std::uint32_t tag = 0;
+    endpoint balancer;
+    return_reason reason = return_reason::not_taken;
+    bool tell_balancer = false; ///< \ref balancer is to learn of the flow.
+};
+
+/// \brief The agent's decision for each packet, free of I/O.
+///
+/// The agent stands beside its server, so what balancers believe does not
+/// matter here: no opening passes for another service, after the server said
+/// that it leaves, or when the server has been silent. Packets of flows pass
+/// always, since the server itself knows its flows. What the agent notes of
+/// flows serves its load gauge and tells balancers where a flow is; losing it
+/// breaks nothing.
+class server_gate
+{
+public:
+    /// \brief Flows that an agent notes.
+    static constexpr std::size_t flow_capacity = 16384;
+
+    /// \brief Flows without a packet for so long are forgotten.
+    static constexpr duration flow_idle = std::chrono::seconds(20);
+
+    /// \brief The same for flows that an end has closed.
+    static constexpr duration closed_flow_idle = std::chrono::seconds(2);
+
+    /// \brief A request without an answer for so long is not in progress.
+    static constexpr duration longest_request = std::chrono::seconds(3);
+
+    server_gate(const clock& c, const server_registration& server)
+        : clock_(&c), server_(&server), load_(c)
+    {
+    }
+
+    /// \brief Decides on a packet that a balancer at \a from sent.
+    gate_verdict on_balancer_packet(const flow_packet& p,
+                                    forward_note note,
+                                    const endpoint& from);
+
+    /// \brief Decides on a packet of the server; \a tag is what it carries.
+    gate_verdict on_server_packet(const flow_packet& p, std::uint32_t tag);
+
+    /// \brief Forgets idle flows; to be called now and then.
+    void expire();
+
+    std::uint32_t open_flows() const { return open_; }
+
+    /// \brief Requests that the server works on, on average of late.
+    double mean_in_progress() { return load_.mean(); }
+
+    const counter_set<gate_event>& counters() const { return counters_; }
+
+    /// \brief Called for each decision on an opening.
+    std::function<void(const flow_packet&, const gate_verdict&)> on_decision;
+
+private:
+    /// What is noted of a flow.
+    struct flow
+    {
+        time_point last{};
+        time_point asked{};         ///< When the request began.
+        std::uint16_t balancer = 0; ///< Position in balancers_.
+        bool open = false;          ///< The server has answered the opening.
+        bool told = false;          ///< The balancer knows of the flow.
+        bool in_progress = false;
+        bool over = false; ///< An end has closed or reset it.
+    };
+
+    std::uint16_t position_of(const endpoint& balancer);
+    void note_packet(const flow_packet& p, std::uint16_t balancer);
+    void end_request(flow& f);
+    void close(flow& f);
+    void forget(const flow_key& key);
+    gate_verdict refuse(const flow_packet& p,
+                        const endpoint& from,
+                        gate_event event,
+                        return_reason reason);
+    gate_verdict give_back(const flow_packet& p, std::uint32_t tag);
+
+    const clock* clock_;
+    const server_registration* server_;
+    load_gauge load_;
+    counter_set<gate_event> counters_;
+    std::unordered_map<flow_key, flow, flow_key_hash> flows_;
+    std::uint32_t open_ = 0;
+    std::vector<endpoint> balancers_; ///< All that have sent packets.
+};
+
+} // namespace briarfield
+
+#endif
--- a/src/app/logging.cpp
+++ b/src/app/logging.cpp
@@ -1,14 +1,15 @@
 #include "logging.hpp"
 
 #include <algorithm>
-#include <iostream>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <spdlog/details/null_mutex.h>
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 namespace briarfield::app
 {
@@ -29,13 +30,14 @@
     : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
 {
 public:
-    explicit budget_sink(bool json)
-        : json_(json), time_(std::make_unique<spdlog::pattern_formatter>(
-                           time_pattern, spdlog::pattern_time_type::local, ""))
+    budget_sink(bool json, line_budget budget)
+        : json_(json), budget_(budget),
+          time_(std::make_unique<spdlog::pattern_formatter>(
+              time_pattern, spdlog::pattern_time_type::local, ""))
     {
     }
 
-    const line_budget& budget() const { return budget_; }
+    std::uint64_t lost_lines() const { return budget_.suppressed() + unread_; }
 
 protected:
     void sink_it_(const spdlog::details::log_msg& message) override
@@ -46,24 +48,51 @@
         if (!json_)
         {
             formatter_->format(message, buffer);
-            std::cout << view_of(buffer);
-            return;
+            return append(view_of(buffer));
         }
         time_->format(message, buffer);
         const auto level = spdlog::level::to_string_view(message.level);
-        std::cout << json_log_line(
-                         view_of(buffer), {level.data(), level.size()},
-                         {message.payload.data(), message.payload.size()})
-                  << "\n";
+        append(json_log_line(view_of(buffer), {level.data(), level.size()},
+                             {message.payload.data(), message.payload.size()}) +
+               "\n");
     }
 
-    void flush_() override { std::cout.flush(); }
+    void flush_() override { write_waiting(); }
 
 private:
+    /// A pipe takes so many bytes at once or none (PIPE_BUF).
+    static constexpr std::size_t largest_write = 4096;
+
+    void append(std::string_view line)
+    {
+        if (waiting_.size() + line.size() > largest_write)
+            write_waiting();
+        waiting_.append(line);
+        ++waiting_lines_;
+    }
+
+    /// Gives the lines up if the reader has no room for them.
+    void write_waiting()
+    {
+        if (waiting_.empty())
+            return;
+        pollfd out{STDOUT_FILENO, POLLOUT, 0};
+        const bool writable =
+            poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+        if (!writable ||
+            write(STDOUT_FILENO, waiting_.data(), waiting_.size()) < 0)
+            unread_ += waiting_lines_;
+        waiting_.clear();
+        waiting_lines_ = 0;
+    }
+
     bool json_;
+    line_budget budget_;
     std::unique_ptr<spdlog::formatter> time_;
     steady_clock clock_;
-    line_budget budget_;
+    std::string waiting_;
+    std::uint64_t waiting_lines_ = 0;
+    std::uint64_t unread_ = 0; ///< Lines that nobody read.
 };
 
 /// Sink of the process, kept for its count of suppressed lines.
@@ -115,7 +144,7 @@
 {
     const std::chrono::duration<double> passed = now - last_;
     last_ = now;
-    left_ = std::min(burst, left_ + passed.count() * per_second);
+    left_ = std::min(burst_, left_ + passed.count() * per_second_);
     if (left_ < 1)
     {
         ++suppressed_;
@@ -140,19 +169,25 @@
     return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-void start_logging(const settings& s)
+void start_logging(const settings& s, log_delivery delivery, line_budget budget)
 {
     const std::string& format =
         s.log_format_option.empty() ? s.log_format : s.log_format_option;
-    process_sink() = std::make_shared<budget_sink>(format == "json");
+    process_sink() = std::make_shared<budget_sink>(format == "json", budget);
     auto logger =
         std::make_shared<spdlog::logger>("briarfield", process_sink());
     logger->set_pattern(text_pattern);
-    logger->flush_on(spdlog::level::trace);
+    logger->flush_on(delivery == log_delivery::each_line ? spdlog::level::trace
+                                                         : spdlog::level::warn);
     spdlog::set_default_logger(std::move(logger));
     set_log_level(s);
 }
 
+void flush_log()
+{
+    spdlog::default_logger_raw()->flush();
+}
+
 void set_log_level(const settings& s)
 {
     spdlog::set_level(spdlog::level::from_str(level_of(s)));
@@ -160,7 +195,7 @@
 
 std::uint64_t suppressed_log_lines()
 {
-    return process_sink() ? process_sink()->budget().suppressed() : 0;
+    return process_sink() ? process_sink()->lost_lines() : 0;
 }
 
 } // namespace briarfield::app
--- a/src/app/logging.hpp
+++ b/src/app/logging.hpp
@@ -16,8 +16,14 @@
 class line_budget
 {
 public:
-    static constexpr double burst = 200;     // Lines.
-    static constexpr double per_second = 20; // Lines.
+    static constexpr double default_burst = 200;     // Lines.
+    static constexpr double default_per_second = 20; // Lines.
+
+    explicit line_budget(double burst = default_burst,
+                         double per_second = default_per_second)
+        : burst_(burst), per_second_(per_second), left_(burst)
+    {
+    }
 
     /// Whether a line may be written at \a now.
     bool take(time_point now);
@@ -26,7 +32,9 @@
     std::uint64_t suppressed() const { return suppressed_; }
 
 private:
-    double left_ = burst;
+    double burst_;
+    double per_second_;
+    double left_;
     time_point last_;
     std::uint64_t suppressed_ = 0;
 };
@@ -38,13 +46,28 @@
                           std::string_view level,
                           std::string_view line);
 
+/// When lines leave the process.
+enum class log_delivery : std::uint8_t
+{
+    each_line, ///< At once.
+    buffered   ///< By \ref flush_log, and at once from warnings on.
+};
+
 /// Sets up the process's log: level, format and budget.
-void start_logging(const settings& s);
+///
+/// Lines go to standard output, and are dropped and counted while nobody
+/// reads it, so that writing never blocks.
+void start_logging(const settings& s,
+                   log_delivery delivery = log_delivery::each_line,
+                   line_budget budget = line_budget());
+
+/// Writes the lines that wait.
+void flush_log();
 
 /// Puts the level of \a s in force.
 void set_log_level(const settings& s);
 
-/// Lines that the budget has suppressed since the start.
+/// Lines not written since the start: above the budget, or nobody read.
 std::uint64_t suppressed_log_lines();
 
 } // namespace briarfield::app
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -18,7 +18,9 @@
 {
     any = 0, ///< Required keys are not checked.
     balancer = 1,
-    agent = 2
+    agent = 2,
+    relay_balancer = 4, ///< Before servers that return what they do not hold.
+    relay_agent = 8     ///< Beside such a server.
 };
 
 /// Settings of both daemons, read from an INI file.
@@ -58,6 +60,17 @@
     std::vector<endpoint> balancers; ///< Announcements go there.
     duration agent_drain_limit{};
 
+    endpoint relay_address;     ///< Frames of our own processes.
+    endpoint relay_callers;     ///< Packets of callers arrive here.
+    endpoint relay_from_server; ///< Packets of the server arrive here.
+    endpoint relay_server;      ///< The server takes packets there.
+    endpoint relay_heartbeats;  ///< HTTP; the server announces itself here.
+    std::string relay_service;  ///< That the server runs.
+    std::uint32_t relay_caller_port = 0;
+    std::vector<endpoint> relay_seeds;
+    std::uint32_t relay_seed_port = 0;
+    duration relay_silence_limit{};
+
     endpoint trace_collector;
     double trace_ratio = 0;
 
--- a/src/app/settings_table.cpp
+++ b/src/app/settings_table.cpp
@@ -10,16 +10,22 @@
 
 constexpr daemon_role balancer = daemon_role::balancer;
 constexpr daemon_role agent = daemon_role::agent;
+constexpr daemon_role relay_balancer = daemon_role::relay_balancer;
+constexpr daemon_role relay_agent = daemon_role::relay_agent;
 
 /// Every key; the order is that of the reference page.
 constexpr setting_row rows[] = {
     row("instance", "name", &settings::instance_name)
         .needed(balancer)
         .needed(agent)
+        .needed(relay_balancer)
+        .needed(relay_agent)
         .doc("Name of this instance, unique among all of a deployment."),
     row("instance", "zone", &settings::instance_zone)
         .needed(balancer)
         .needed(agent)
+        .needed(relay_balancer)
+        .needed(relay_agent)
         .doc("Availability zone of this instance."),
     row("instance", "region", &settings::instance_region)
         .needed(balancer)
@@ -28,6 +34,7 @@
 
     row("store", "address", &settings::store_address)
         .needed(balancer)
+        .needed(relay_balancer)
         .doc("Object API of the platform."),
 
     row("keys", "overlay", &settings::overlay_key_file)
@@ -88,6 +95,8 @@
     row("http", "address", &settings::http_address)
         .needed(balancer)
         .needed(agent)
+        .needed(relay_balancer)
+        .needed(relay_agent)
         .doc("Where /metrics, /healthz and /readyz are served."),
 
     row("agent", "overlay", &settings::agent_overlay)
@@ -120,6 +129,44 @@
         .reload()
         .doc("When a stopping agent ends at the latest, even with flows open."),
 
+    row("relay", "address", &settings::relay_address)
+        .needed(relay_balancer)
+        .needed(relay_agent)
+        .doc("Where frames of other balancers and agents arrive."),
+    row("relay", "callers", &settings::relay_callers)
+        .needed(relay_balancer)
+        .doc("Where packets of callers arrive."),
+    row("relay", "caller_port", &settings::relay_caller_port)
+        .by_default("0")
+        .range("0", "65535")
+        .doc("Port at which callers take packets, at their own address; 0: "
+             "that at which we take theirs or, beside a server, frames."),
+    row("relay", "from_server", &settings::relay_from_server)
+        .needed(relay_agent)
+        .doc("Where packets of the backend server arrive."),
+    row("relay", "server", &settings::relay_server)
+        .needed(relay_agent)
+        .doc("Where the backend server takes packets."),
+    row("relay", "heartbeats", &settings::relay_heartbeats)
+        .needed(relay_agent)
+        .doc("Where the backend server announces itself, by HTTP."),
+    row("relay", "service", &settings::relay_service)
+        .needed(relay_agent)
+        .reload()
+        .doc("Service that the backend server runs, until it says so itself."),
+    row("relay", "seeds", &settings::relay_seeds)
+        .doc("Relay addresses of some balancers; the rest are learnt."),
+    row("relay", "seed_port", &settings::relay_seed_port)
+        .by_default("0")
+        .range("0", "65535")
+        .doc("Port of the seeds' relay addresses, where they are given with "
+             "another port; 0: as given."),
+    row("relay", "silence_limit", &settings::relay_silence_limit)
+        .by_default("1900ms")
+        .range("100ms", "1min")
+        .doc("A server that was silent for so long gets no new flows; its "
+             "address may then belong to another service."),
+
     row("trace", "collector", &settings::trace_collector)
         .doc("Where spans go by OTLP/HTTP JSON; without it none are kept."),
     row("trace", "ratio", &settings::trace_ratio)
--- /dev/null
+++ b/src/dispatch/agent_directory.cpp
@@ -0,0 +1,96 @@
+#include "briarfield/dispatch/agent_directory.hpp"
+
+#include <iterator>
+
+namespace briarfield
+{
+
+namespace
+{
+
+constexpr std::string_view state_names[] = {"unknown", "ready", "draining",
+                                            "gone"};
+static_assert(std::size(state_names) ==
+              static_cast<std::size_t>(server_state::count_));
+
+/// Whether \a status is older than what \a known holds.
+bool stale(const agent_directory::record& known, const agent_status& status)
+{
+    if (status.incarnation == known.replaced_incarnation)
+        return true;
+    return status.incarnation == known.status.incarnation &&
+           status.sequence <= known.status.sequence;
+}
+
+} // namespace
+
+std::string_view server_state_name(server_state state) noexcept
+{
+    return state_names[static_cast<std::size_t>(state)];
+}
+
+bool agent_directory::take(const agent_status& status)
+{
+    agent_index i = find(status.data);
+    const bool first = i == no_agent;
+    if (first)
+    {
+        i = static_cast<agent_index>(records_.size());
+        records_.emplace_back();
+        by_data_.emplace(status.data, i);
+    }
+    record& r = records_[i];
+    if (!first && stale(r, status))
+        return false;
+    const bool restarted = r.status.incarnation != status.incarnation;
+    const bool changed = first || restarted || r.reported_lost ||
+                         r.status.state != status.state ||
+                         r.status.service != status.service;
+    if (restarted)
+        r.replaced_incarnation = r.status.incarnation;
+    r.status = status;
+    r.tag = make_service_tag(status.service);
+    r.heard = clock_->now();
+    r.placed = 0;
+    r.reported_lost = false;
+    if (changed && on_change)
+        on_change(r);
+    return true;
+}
+
+agent_index agent_directory::find(const endpoint& data) const
+{
+    const auto found = by_data_.find(data);
+    return found == by_data_.end() ? no_agent : found->second;
+}
+
+bool agent_directory::fresh(agent_index i) const
+{
+    return clock_->now() - records_[i].heard <= options_.fresh_for;
+}
+
+bool agent_directory::known(agent_index i) const
+{
+    return clock_->now() - records_[i].heard <= options_.known_for;
+}
+
+bool agent_directory::takes_flows(agent_index i, service_tag tag) const
+{
+    const record& r = records_[i];
+    return r.tag == tag && r.status.state == server_state::ready && fresh(i);
+}
+
+void agent_directory::check()
+{
+    for (std::size_t i = 0; i < records_.size(); ++i)
+    {
+        record& r = records_[i];
+        if (r.reported_lost || fresh(static_cast<agent_index>(i)))
+            continue;
+        r.reported_lost = true;
+        if (on_silent)
+            on_silent(r, clock_->now() - r.heard);
+    }
+}
+
+} // namespace briarfield
--- /dev/null
+++ b/src/dispatch/placement.cpp
@@ -0,0 +1,119 @@
+#include "briarfield/dispatch/placement.hpp"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace briarfield
+{
+
+namespace
+{
+
+/// Part of a slot that an open flow keeps busy over time.
+constexpr double idle_flow_cost = 0.02;
+
+/// Work on a server that is still warming up takes about that much longer.
+constexpr double warmup_factor = 1.6;
+
+/// Loads closer than this are equal, so that the zone and the rank decide.
+constexpr double equal_load = 0.05; // Of a slot.
+
+double flows_per_slot(const agent_directory::record& r)
+{
+    const double flows = r.status.flows + r.placed;
+    return flows / std::max(1U, r.status.slots);
+}
+
+/// Whether \a a is the better choice at about the same load.
+bool preferred(const placement_candidate& a, const placement_candidate& b)
+{
+    if (a.same_zone != b.same_zone)
+        return a.same_zone;
+    return a.rank > b.rank;
+}
+
+std::size_t least(const std::vector<placement_candidate>& all,
+                  const std::function<double(const placement_candidate&)>& cost)
+{
+    std::size_t best = 0;
+    double best_cost = cost(all[0]);
+    for (std::size_t i = 1; i < all.size(); ++i)
+    {
+        const double c = cost(all[i]);
+        const bool equal = std::abs(c - best_cost) < equal_load;
+        if (equal ? preferred(all[i], all[best]) : c < best_cost)
+        {
+            best = i;
+            best_cost = c;
+        }
+    }
+    return best;
+}
+
+std::size_t highest_rank(const std::vector<placement_candidate>& all,
+                         std::size_t except)
+{
+    std::size_t best = except == 0 ? 1 : 0;
+    for (std::size_t i = 0; i < all.size(); ++i)
+        if (i != except && all[i].rank > all[best].rank)
+            best = i;
+    return best;
+}
+
+} // namespace
+
+std::uint64_t placement_rank(std::uint64_t flow_hash, const endpoint& agent)
+{
+    const auto& bytes = agent.address.bytes();
+    return XXH3_64bits_withSeed(bytes.data(), bytes.size(),
+                                flow_hash + agent.port);
+}
+
+double expected_load(const agent_directory::record& r)
+{
+    const double slots = std::max(1U, r.status.slots);
+    const double flows = r.status.flows + r.placed;
+    const double load = (r.status.busy + idle_flow_cost * flows) / slots;
+    return r.status.warmup_ms > 0 ? (load + 1) * warmup_factor - 1 : load;
+}
+
+placement_policy place_by_rank()
+{
+    return [](const std::vector<placement_candidate>& all)
+    { return highest_rank(all, all.size()); };
+}
+
+placement_policy place_by_two_choices()
+{
+    return [](const std::vector<placement_candidate>& all)
+    {
+        const std::size_t first = highest_rank(all, all.size());
+        if (all.size() == 1)
+            return first;
+        const std::size_t second = highest_rank(all, first);
+        return expected_load(*all[second].record) <
+                       expected_load(*all[first].record)
+                   ? second
+                   : first;
+    };
+}
+
+placement_policy place_by_flows()
+{
+    return [](const std::vector<placement_candidate>& all)
+    {
+        return least(all, [](const placement_candidate& c)
+                     { return flows_per_slot(*c.record); });
+    };
+}
+
+placement_policy place_by_load()
+{
+    return [](const std::vector<placement_candidate>& all)
+    {
+        return least(all, [](const placement_candidate& c)
+                     { return expected_load(*c.record); });
+    };
+}
+
+} // namespace briarfield
--- /dev/null
+++ b/src/dispatch/relay_frame.cpp
@@ -0,0 +1,90 @@
+#include "briarfield/dispatch/relay_frame.hpp"
+
+namespace briarfield
+{
+
+namespace
+{
+
+constexpr std::size_t message_head = 1;   // Bytes.
+constexpr std::size_t give_back_head = 2; // Bytes.
+
+void write_tag(std::uint8_t* to, service_tag tag)
+{
+    for (unsigned i = 0; i < 4; ++i)
+        to[i] = static_cast<std::uint8_t>(tag >> (8 * i));
+}
+
+service_tag read_tag(const std::uint8_t* from)
+{
+    service_tag tag = 0;
+    for (unsigned i = 0; i < 4; ++i)
+        tag |= service_tag{from[i]} << (8 * i);
+    return tag;
+}
+
+result<relay_frame> read_forward(byte_span datagram)
+{
+    if (datagram.size() < relay_frame_overhead ||
+        datagram[1] >= static_cast<std::uint8_t>(forward_mode::count_))
+        return fail(errc::message_malformed, "forward frame");
+    relay_frame frame;
+    frame.kind = frame_kind::forward;
+    frame.note.mode = static_cast<forward_mode>(datagram[1]);
+    frame.note.service = read_tag(&datagram[2]);
+    frame.body = datagram.drop_front(relay_frame_overhead);
+    return frame;
+}
+
+result<relay_frame> read_give_back(byte_span datagram)
+{
+    if (datagram.size() < give_back_head ||
+        datagram[1] >= static_cast<std::uint8_t>(return_reason::count_))
+        return fail(errc::message_malformed, "give_back frame");
+    relay_frame frame;
+    frame.kind = frame_kind::give_back;
+    frame.reason = static_cast<return_reason>(datagram[1]);
+    frame.body = datagram.drop_front(give_back_head);
+    return frame;
+}
+
+} // namespace
+
+result<relay_frame> read_relay_frame(byte_span datagram)
+{
+    if (datagram.empty())
+        return fail(errc::message_malformed, "empty frame");
+    switch (static_cast<frame_kind>(datagram[0]))
+    {
+    case frame_kind::forward:
+        return read_forward(datagram);
+    case frame_kind::give_back:
+        return read_give_back(datagram);
+    case frame_kind::message:
+        break;
+    default:
+        return fail(errc::message_malformed, "kind of frame");
+    }
+    relay_frame frame;
+    frame.body = datagram.drop_front(message_head);
+    return frame;
+}
+
+byte_span write_forward_frame(byte_span packet, forward_note note)
+{
+    std::uint8_t* start = packet.data() - relay_frame_overhead;
+    start[0] = static_cast<std::uint8_t>(frame_kind::forward);
+    start[1] = static_cast<std::uint8_t>(note.mode);
+    write_tag(start + 2, note.service);
+    return {start, packet.size() + relay_frame_overhead};
+}
+
+byte_span write_give_back_frame(byte_span packet, return_reason reason)
+{
+    std::uint8_t* start = packet.data() - give_back_head;
+    start[0] = static_cast<std::uint8_t>(frame_kind::give_back);
+    start[1] = static_cast<std::uint8_t>(reason);
+    return {start, packet.size() + give_back_head};
+}
+
+} // namespace briarfield
--- /dev/null
+++ b/src/dispatch/server_gate.cpp
@@ -0,0 +1,205 @@
+#include "briarfield/dispatch/server_gate.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace briarfield
+{
+
+namespace
+{
+
+constexpr std::string_view event_names[] = {
+    "delivered",        "offered",        "answered",
+    "accepted",         "given_back",     "refused_service",
+    "refused_draining", "refused_silent", "dropped_unknown_tag"};
+static_assert(std::size(event_names) ==
+              static_cast<std::size_t>(gate_event::count_));
+
+/// Tags are 1 + the position of a balancer; 0 is what others leave there.
+constexpr std::uint32_t first_tag = 1;
+
+} // namespace
+
+std::string_view gate_event_name(gate_event event) noexcept
+{
+    return event_names[static_cast<std::size_t>(event)];
+}
+
+gate_verdict server_gate::on_balancer_packet(const flow_packet& p,
+                                             forward_note note,
+                                             const endpoint& from)
+{
+    const bool opening = p.kind == packet_kind::opening;
+    if (opening && note.service != server_->tag())
+        return refuse(p, from, gate_event::refused_service,
+                      return_reason::other_service);
+    if (opening && (server_->state() == server_state::draining ||
+                    server_->state() == server_state::gone))
+        return refuse(p, from, gate_event::refused_draining,
+                      return_reason::draining);
+    if (opening && server_->silent())
+        return refuse(p, from, gate_event::refused_silent,
+                      return_reason::silent);
+    const std::uint16_t balancer = position_of(from);
+    note_packet(p, balancer);
+    gate_verdict v;
+    v.what = gate_verdict::action::deliver;
+    v.event = opening ? gate_event::offered : gate_event::delivered;
+    v.tag = first_tag + balancer;
+    counters_.add(v.event);
+    return v;
+}
+
+gate_verdict server_gate::refuse(const flow_packet& p,
+                                 const endpoint& from,
+                                 gate_event event,
+                                 return_reason reason)
+{
+    counters_.add(event);
+    gate_verdict v;
+    v.what = gate_verdict::action::give_back;
+    v.event = event;
+    v.reason = reason;
+    v.balancer = from;
+    if (on_decision)
+        on_decision(p, v);
+    return v;
+}
+
+gate_verdict server_gate::on_server_packet(const flow_packet& p,
+                                           std::uint32_t tag)
+{
+    if (p.returned)
+        return give_back(p, tag);
+    gate_verdict v;
+    v.what = gate_verdict::action::answer;
+    v.event = p.accepts ? gate_event::accepted : gate_event::answered;
+    counters_.add(v.event);
+    const auto found = flows_.find(p.key);
+    if (found == flows_.end())
+        return v;
+    flow& f = found->second;
+    f.last = clock_->now();
+    if (p.accepts && !f.open)
+    {
+        f.open = true;
+        ++open_;
+        if (on_decision)
+            on_decision(p, v);
+    }
+    if (p.payload_size > 0)
+        end_request(f);
+    if (!f.told)
+    {
+        f.told = true;
+        v.tell_balancer = true;
+        v.balancer = balancers_[f.balancer];
+    }
+    if (p.kind == packet_kind::reset || p.kind == packet_kind::closing)
+        close(f);
+    return v;
+}
+
+gate_verdict server_gate::give_back(const flow_packet& p, std::uint32_t tag)
+{
+    gate_verdict v;
+    const std::size_t position = tag - first_tag;
+    if (tag < first_tag || position >= balancers_.size())
+    {
+        v.event = gate_event::dropped_unknown_tag;
+        counters_.add(v.event);
+        return v;
+    }
+    forget(p.key);
+    v.what = gate_verdict::action::give_back;
+    v.event = gate_event::given_back;
+    v.balancer = balancers_[position];
+    counters_.add(v.event);
+    if (on_decision && p.kind == packet_kind::opening)
+        on_decision(p, v);
+    return v;
+}
+
+std::uint16_t server_gate::position_of(const endpoint& balancer)
+{
+    const auto found =
+        std::find(balancers_.begin(), balancers_.end(), balancer);
+    if (found != balancers_.end())
+        return static_cast<std::uint16_t>(found - balancers_.begin());
+    balancers_.push_back(balancer);
+    return static_cast<std::uint16_t>(balancers_.size() - 1);
+}
+
+void server_gate::note_packet(const flow_packet& p, std::uint16_t balancer)
+{
+    const auto found = flows_.find(p.key);
+    if (found == flows_.end() && flows_.size() >= flow_capacity)
+        return;
+    flow& f = found == flows_.end() ? flows_[p.key] : found->second;
+    const time_point now = clock_->now();
+    f.last = now;
+    if (f.balancer != balancer)
+        f.told = false;
+    f.balancer = balancer;
+    if (p.kind != packet_kind::opening && !f.open && !f.over)
+    {
+        // Known from before our start, or the answer was seen by nobody.
+        f.open = true;
+        ++open_;
+    }
+    if (p.payload_size > 0 && !f.in_progress && !f.over)
+    {
+        f.in_progress = true;
+        f.asked = now;
+        load_.begin_request();
+    }
+    if (p.kind == packet_kind::reset || p.kind == packet_kind::closing)
+        close(f);
+}
+
+/// One end has said that nothing more comes; late packets may still pass.
+void server_gate::close(flow& f)
+{
+    end_request(f);
+    if (f.open)
+        --open_;
+    f.open = false;
+    f.over = true;
+}
+
+void server_gate::end_request(flow& f)
+{
+    if (!f.in_progress)
+        return;
+    f.in_progress = false;
+    load_.end_request();
+}
+
+void server_gate::forget(const flow_key& key)
+{
+    const auto found = flows_.find(key);
+    if (found == flows_.end())
+        return;
+    end_request(found->second);
+    if (found->second.open)
+        --open_;
+    flows_.erase(found);
+}
+
+void server_gate::expire()
+{
+    const time_point now = clock_->now();
+    std::vector<flow_key> idle;
+    for (auto& [key, f] : flows_)
+    {
+        if (f.in_progress && now - f.asked > longest_request)
+            end_request(f);
+        if (now - f.last > (f.over ? closed_flow_idle : flow_idle))
+            idle.push_back(key);
+    }
+    for (const flow_key& key : idle)
+        forget(key);
+}
+
+} // namespace briarfield
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -214,6 +214,9 @@
         info.user = this;
         info.vhost_name = "http-server";
         info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
+        // A machine may have no IPv6 at all.
+        if (where.address.is_v4())
+            info.options |= LWS_SERVER_OPTION_DISABLE_IPV6;
         info.keepalive_timeout = 30;
         vhost_ = lws_create_vhost(loop.native(), &info);
         if (vhost_ == nullptr)
--- /dev/null
+++ b/src/relay/relay_agent.cpp
@@ -0,0 +1,253 @@
+#include "briarfield/relay/relay_agent.hpp"
+
+#include "message_frame.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace briarfield
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration check_interval = 500ms;
+
+} // namespace
+
+result<std::unique_ptr<relay_agent>>
+relay_agent::create(event_loop& loop,
+                    const relay_agent_options& options,
+                    packet_codec codec,
+                    random_source& random)
+{
+    std::unique_ptr<relay_agent> a(
+        new relay_agent(loop, options, std::move(codec), random));
+    BOOST_OUTCOME_TRYV(a->open());
+    return a;
+}
+
+relay_agent::relay_agent(event_loop& loop,
+                         const relay_agent_options& options,
+                         packet_codec codec,
+                         random_source& random)
+    : loop_(&loop), options_(options), codec_(std::move(codec)),
+      random_(&random),
+      server_(
+          loop.timers().time_source(), options.service, options.silence_limit),
+      gate_(loop.timers().time_source(), server_),
+      balancers_(loop.timers().time_source()), incarnation_(random.next())
+{
+    for (const endpoint& seed : options_.seeds)
+        balancers_.add_seed(seed);
+    set_log_hooks();
+}
+
+relay_agent::~relay_agent()
+{
+    loop_->timers().cancel(beat_timer_);
+    loop_->timers().cancel(check_timer_);
+}
+
+result<void> relay_agent::open()
+{
+    BOOST_OUTCOME_TRY(from_server, udp_socket::create_batched(
+                                       *loop_, options_.from_server,
+                                       [this](const udp_socket::datagram* batch,
+                                              std::size_t count)
+                                       { on_server_batch(batch, count); }));
+    from_server_ = std::move(from_server);
+    BOOST_OUTCOME_TRY(
+        relay, udp_socket::create_batched(
+                   *loop_, options_.relay,
+                   [this](const udp_socket::datagram* batch, std::size_t count)
+                   { on_relay_batch(batch, count); }));
+    relay_ = std::move(relay);
+    beat();
+    check();
+    return ok();
+}
+
+void relay_agent::set_log_hooks()
+{
+    server_.on_change = [this]
+    {
+        const server_heartbeat& s = server_.latest();
+        spdlog::info("event=server_changed server={} service={} state={} "
+                     "born_ms={} sequence={} slots={}",
+                     s.id, s.service, server_state_name(server_.state()),
+                     s.born_ms, s.sequence, s.slots);
+        send_heartbeats();
+    };
+    gate_.on_decision = [this](const flow_packet& p, const gate_verdict& v)
+    {
+        spdlog::info("event={} flow={} copy={} server={} state={} "
+                     "heard_ms={} flows={}",
+                     gate_event_name(v.event), flow_name(p.key), p.copy,
+                     server_.latest().id, server_state_name(server_.state()),
+                     whole_ms(server_.age()), gate_.open_flows());
+    };
+}
+
+void relay_agent::on_relay_batch(const udp_socket::datagram* batch,
+                                 std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i)
+        on_relay_datagram(batch[i].bytes, batch[i].from);
+    from_server_->flush();
+}
+
+void relay_agent::on_relay_datagram(byte_span datagram, const endpoint& from)
+{
+    const auto frame = read_relay_frame(datagram);
+    if (!frame)
+    {
+        ++malformed_;
+        return;
+    }
+    const byte_span body = frame.value().body;
+    if (frame.value().kind == frame_kind::message)
+    {
+        const auto message = decode_dispatch_message(text_of(body));
+        if (message && std::holds_alternative<balancer_notice>(message.value()))
+            return on_notice(std::get<balancer_notice>(message.value()));
+        ++malformed_;
+        return;
+    }
+    const auto p = codec_.decode_caller(body);
+    if (!p || frame.value().kind != frame_kind::forward)
+    {
+        ++malformed_;
+        return;
+    }
+    const gate_verdict v =
+        gate_.on_balancer_packet(p.value(), frame.value().note, from);
+    if (v.what == gate_verdict::action::give_back)
+        return give_back(body, v);
+    if (v.what != gate_verdict::action::deliver)
+        return;
+    codec_.put_tag(body, v.tag);
+    from_server_->queue(options_.server, body);
+}
+
+void relay_agent::on_server_batch(const udp_socket::datagram* batch,
+                                  std::size_t count)
+{
+    server_.note_alive();
+    for (std::size_t i = 0; i < count; ++i)
+        on_server_datagram(batch[i].bytes);
+    relay_->flush();
+}
+
+void relay_agent::on_server_datagram(byte_span datagram)
+{
+    const auto p = codec_.decode_server(datagram);
+    if (!p)
+    {
+        ++malformed_;
+        return;
+    }
+    const gate_verdict v =
+        gate_.on_server_packet(p.value(), codec_.tag(datagram));
+    if (v.what == gate_verdict::action::give_back)
+        return give_back(datagram, v);
+    if (v.what != gate_verdict::action::answer)
+        return;
+    relay_->queue({p.value().key.source, options_.caller_port}, datagram);
+    if (v.tell_balancer)
+        relay_->queue_copy(v.balancer, bytes_of(message_frame(flow_held_message{
+                                           p.value().key, options_.relay})));
+}
+
+void relay_agent::give_back(byte_span packet, const gate_verdict& v)
+{
+    codec_.clear_marks(packet);
+    relay_->queue(v.balancer, write_give_back_frame(packet, v.reason));
+}
+
+void relay_agent::on_notice(const balancer_notice& notice)
+{
+    if (notice.leaving)
+    {
+        spdlog::info("event=balancer_left balancer={}",
+                     notice.relay.to_string());
+        return balancers_.left(notice.relay);
+    }
+    bool is_new = balancers_.heard(notice.relay);
+    if (is_new)
+        spdlog::info("event=balancer_heard balancer={}",
+                     notice.relay.to_string());
+    for (const endpoint& other : notice.balancers)
+        is_new = balancers_.introduced(other) || is_new;
+    if (is_new)
+        send_heartbeats();
+}
+
+agent_status relay_agent::make_status()
+{
+    const server_heartbeat& latest = server_.latest();
+    agent_status s;
+    s.data = options_.relay;
+    s.incarnation = incarnation_;
+    s.sequence = ++sequence_;
+    s.service = latest.service;
+    s.zone = options_.zone;
+    s.state = server_.silent() ? server_state::unknown : server_.state();
+    // Before the first heartbeat of the server the settings count.
+    if (server_.state() == server_state::unknown && !server_.silent())
+        s.state = server_state::ready;
+    s.slots = latest.slots;
+    s.flows = gate_.open_flows();
+    s.busy = static_cast<float>(gate_.mean_in_progress());
+    const long long passed = whole_ms(server_.heartbeat_age());
+    s.warmup_ms = latest.warmup_ms > passed
+                      ? static_cast<std::uint32_t>(latest.warmup_ms - passed)
+                      : 0;
+    return s;
+}
+
+void relay_agent::send_heartbeats()
+{
+    const std::string frame = message_frame(make_status());
+    for (const endpoint& balancer : balancers_.contacts())
+        relay_->queue_copy(balancer, bytes_of(frame));
+    relay_->flush();
+}
+
+void relay_agent::leave()
+{
+    agent_status s = make_status();
+    s.state = server_state::unknown;
+    const std::string frame = message_frame(s);
+    for (const endpoint& balancer : balancers_.contacts())
+        relay_->queue_copy(balancer, bytes_of(frame));
+    relay_->flush();
+    loop_->timers().cancel(beat_timer_);
+}
+
+void relay_agent::beat()
+{
+    send_heartbeats();
+    // Agents that started together must not beat together.
+    const duration jitter(static_cast<duration::rep>(random_->below(
+        static_cast<std::uint64_t>(options_.heartbeat_interval.count() / 8))));
+    beat_timer_ = loop_->timers().schedule(options_.heartbeat_interval - jitter,
+                                           [this] { beat(); });
+}
+
+void relay_agent::check()
+{
+    gate_.expire();
+    if (server_.silent() != reported_silent_)
+    {
+        reported_silent_ = server_.silent();
+        spdlog::warn("event={} server={} heard_ms={}",
+                     reported_silent_ ? "server_silent" : "server_heard_again",
+                     server_.latest().id, whole_ms(server_.age()));
+    }
+    check_timer_ =
+        loop_->timers().schedule(check_interval, [this] { check(); });
+}
+
+} // namespace briarfield
