An agent tells a searching balancer again where a flow is; tests

Change: a packet sent under search or as an opening asks to be told. Test searching_balancer_is_told_again failed before; a small world of balancers, agents and servers on a paused clock, with generated schedules.

--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -116,7 +116,9 @@
     };
 
     std::uint16_t position_of(const endpoint& balancer);
-    void note_packet(const flow_packet& p, std::uint16_t balancer);
+    void note_packet(const flow_packet& p,
+                     forward_mode mode,
+                     std::uint16_t balancer);
     void end_request(flow& f);
     void close(flow& f);
     void forget(const flow_key& key);
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -42,7 +42,7 @@
         return refuse(p, from, gate_event::refused_silent,
                       return_reason::silent);
     const std::uint16_t balancer = position_of(from);
-    note_packet(p, balancer);
+    note_packet(p, note.mode, balancer);
     gate_verdict v;
     v.what = gate_verdict::action::deliver;
     v.event = opening ? gate_event::offered : gate_event::delivered;
@@ -131,7 +131,9 @@
     return static_cast<std::uint16_t>(balancers_.size() - 1);
 }
 
-void server_gate::note_packet(const flow_packet& p, std::uint16_t balancer)
+void server_gate::note_packet(const flow_packet& p,
+                              forward_mode mode,
+                              std::uint16_t balancer)
 {
     const auto found = flows_.find(p.key);
     if (found == flows_.end() && flows_.size() >= flow_capacity)
@@ -139,7 +141,8 @@
     flow& f = found == flows_.end() ? flows_[p.key] : found->second;
     const time_point now = clock_->now();
     f.last = now;
-    if (f.balancer != balancer)
+    // A balancer that searches has forgotten, or never knew.
+    if (f.balancer != balancer || mode != forward_mode::known)
         f.told = false;
     f.balancer = balancer;
     if (p.kind != packet_kind::opening && !f.open && !f.over)
--- /dev/null
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -0,0 +1,350 @@
+#include "support/dispatch_world.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace
+{
+
+using namespace briarfield;
+using namespace briarfield::test;
+using namespace std::chrono_literals;
+
+const std::string datum = "datum-live";
+const std::string depot = "grid-depot";
+
+class flow_dispatcher_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(flow_dispatcher_test);
+    CPPUNIT_TEST(opening_goes_to_the_route_s_service);
+    CPPUNIT_TEST(returned_opening_goes_on);
+    CPPUNIT_TEST(opening_that_nobody_takes_is_reset);
+    CPPUNIT_TEST(opening_is_not_refused_before_agents_are_known);
+    CPPUNIT_TEST(mute_server_costs_one_copy);
+    CPPUNIT_TEST(another_balancer_finds_the_flow);
+    CPPUNIT_TEST(searching_balancer_is_told_again);
+    CPPUNIT_TEST(restarted_agent_keeps_its_flows);
+    CPPUNIT_TEST(dead_flow_is_reset_in_the_second_round);
+    CPPUNIT_TEST(flow_on_a_silent_agent_is_never_reset);
+    CPPUNIT_TEST(flow_on_an_unknown_server_survives_the_search);
+    CPPUNIT_TEST(flow_of_a_removed_route_is_reset);
+    CPPUNIT_TEST(flow_of_a_route_not_yet_known_is_not_reset);
+    CPPUNIT_TEST(draining_server_gets_no_opening);
+    CPPUNIT_TEST(reused_address_gets_no_opening_of_the_old_service);
+    CPPUNIT_TEST(flows_spread_over_servers);
+    CPPUNIT_TEST(flows_survive_generated_schedules);
+    CPPUNIT_TEST_SUITE_END();
+
+    dispatch_world w_;
+
+    /// \a servers of one service behind \a balancers, up for a while.
+    void start(std::size_t servers, std::size_t balancers)
+    {
+        start(w_, servers, balancers);
+    }
+
+    static void
+    start(dispatch_world& w, std::size_t servers, std::size_t balancers)
+    {
+        for (std::size_t s = 0; s < servers; ++s)
+            w.add_server(datum);
+        for (std::size_t b = 0; b < balancers; ++b)
+            w.add_balancer();
+        w.set_routes(1, {{datum, 1}});
+        w.pass(5s);
+    }
+
+    std::size_t openings_of(const std::string& service)
+    {
+        std::size_t n = 0;
+        for (std::size_t s = 0; s < w_.servers(); ++s)
+            if (w_.server(s).service == service)
+                n += w_.server(s).openings;
+        return n;
+    }
+
+    void opening_goes_to_the_route_s_service()
+    {
+        start(3, 1);
+        w_.add_server(depot);
+        w_.pass(1s);
+        for (std::uint16_t c = 1; c <= 20; ++c)
+            w_.open(0, c);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), openings_of(datum));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), openings_of(depot));
+    }
+
+    void returned_opening_goes_on()
+    {
+        start(3, 1);
+        w_.server(0).takes_openings = false;
+        w_.server(1).takes_openings = false;
+        w_.open(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), w_.holder(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), w_.caller(1).resets);
+    }
+
+    void opening_that_nobody_takes_is_reset()
+    {
+        start(3, 1);
+        for (std::size_t s = 0; s < 3; ++s)
+            w_.server(s).takes_openings = false;
+        w_.open(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(1).resets);
+    }
+
+    void opening_is_not_refused_before_agents_are_known()
+    {
+        start(3, 1);
+        w_.restart_balancer(0);
+        w_.open(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), w_.caller(1).resets);
+    }
+
+    void mute_server_costs_one_copy()
+    {
+        start(2, 1);
+        w_.open(0, 1);
+        const std::size_t first = w_.holder(1);
+        w_.server(first).agent_up = false;
+        w_.open(0, 2);
+        w_.open(0, 3);
+        w_.pass_silently(200ms);
+        w_.open(0, 2, 1);
+        w_.open(0, 3, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(2).accepted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(3).accepted);
+    }
+
+    void another_balancer_finds_the_flow()
+    {
+        start(5, 2);
+        for (std::uint16_t c = 1; c <= 20; ++c)
+            w_.open(0, c);
+        for (std::uint16_t c = 1; c <= 20; ++c)
+            w_.send(1, c);
+        for (std::uint16_t c = 1; c <= 20; ++c)
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(c).answers);
+    }
+
+    /// hgc-transform quiet-1: the agent had told the balancer of the flow
+    /// before the balancer restarted, and did not tell it again; packets
+    /// wandered from server to server and were answered after 1.4 s.
+    void searching_balancer_is_told_again()
+    {
+        start(5, 1);
+        w_.open(0, 1);
+        w_.send(0, 1);
+        w_.restart_balancer(0);
+        w_.pass(2s);
+        w_.send(0, 1);
+        w_.pass(200ms);
+        w_.send(0, 1);
+        w_.pass(200ms);
+        w_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), w_.caller(1).answers);
+    }
+
+    void restarted_agent_keeps_its_flows()
+    {
+        start(3, 2);
+        w_.open(0, 1);
+        w_.restart_agent(w_.holder(1));
+        w_.beat();
+        w_.send(0, 1);
+        w_.send(1, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), w_.caller(1).answers);
+    }
+
+    void dead_flow_is_reset_in_the_second_round()
+    {
+        start(3, 1);
+        w_.open(0, 1);
+        w_.replace_server(w_.holder(1), datum);
+        w_.beat();
+        w_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), w_.caller(1).resets);
+        w_.pass(200ms);
+        w_.send(0, 1);
+        w_.pass(400ms);
+        w_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(1).resets);
+    }
+
+    void flow_on_a_silent_agent_is_never_reset()
+    {
+        start(3, 2);
+        w_.open(0, 1);
+        const std::size_t s = w_.holder(1);
+        w_.server(s).agent_up = false;
+        for (int i = 0; i < 20; ++i)
+        {
+            w_.pass(200ms);
+            w_.send(1, 1);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), w_.caller(1).resets);
+        w_.server(s).agent_up = true;
+        w_.pass(300ms);
+        for (int i = 0; i < 4; ++i)
+        {
+            w_.send(1, 1);
+            w_.pass(200ms);
+        }
+        CPPUNIT_ASSERT(w_.caller(1).answers > 0);
+    }
+
+    /// The other balancer knows a new server that this one hears of only
+    /// after the search has begun.
+    void flow_on_an_unknown_server_survives_the_search()
+    {
+        start(2, 1);
+        w_.server(0).takes_openings = false;
+        w_.server(1).takes_openings = false;
+        const std::size_t s = w_.add_server(datum);
+        w_.server(s).flows.insert(7);
+        w_.send(0, 7);
+        w_.pass(300ms);
+        w_.send(0, 7);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), w_.caller(7).resets);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(7).answers);
+    }
+
+    void flow_of_a_removed_route_is_reset()
+    {
+        start(2, 1);
+        w_.open(0, 1);
+        route_set none;
+        none.version = 2;
+        w_.set_routes_of(0, none);
+        w_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(1).resets);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), w_.caller(1).answers);
+    }
+
+    void flow_of_a_route_not_yet_known_is_not_reset()
+    {
+        w_.add_server(datum);
+        w_.add_balancer();
+        w_.add_balancer();
+        route_set other;
+        other.version = 1;
+        other.routes = {{host_endpoint(251, 80), {{datum, 1}}}};
+        w_.set_routes_of(1, other);
+        w_.pass(5s);
+        w_.send(1, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), w_.caller(1).resets);
+        w_.open(1, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(1).resets);
+    }
+
+    void draining_server_gets_no_opening()
+    {
+        start(1, 1);
+        server_heartbeat beat = w_.server(0).registration->latest();
+        beat.sequence += 1;
+        beat.draining = true;
+        w_.open(0, 1);
+        CPPUNIT_ASSERT(w_.server(0).registration->take(beat));
+        w_.open(0, 2); // The balancer has not heard of it.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.server(0).openings);
+        w_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(1).answers);
+    }
+
+    void reused_address_gets_no_opening_of_the_old_service()
+    {
+        start(1, 1);
+        w_.replace_server(0, depot);
+        w_.open(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), w_.server(0).openings);
+    }
+
+    void flows_spread_over_servers()
+    {
+        start(7, 1);
+        for (std::uint16_t c = 1; c <= 70; ++c)
+        {
+            w_.open(0, c);
+            w_.send(0, c);
+            w_.pass(20ms);
+        }
+        for (std::size_t s = 0; s < 7; ++s)
+        {
+            CPPUNIT_ASSERT(w_.server(s).flows.size() >= 8);
+            CPPUNIT_ASSERT(w_.server(s).flows.size() <= 12);
+        }
+    }
+
+    /// A step of a generated schedule.
+    static void
+    step(dispatch_world& w, int what, std::uint16_t flow, std::size_t i)
+    {
+        switch (what)
+        {
+        case 0:
+            return w.restart_balancer(i % 3);
+        case 1:
+            return w.restart_agent(i % w.servers());
+        case 2:
+            w.server(i % w.servers()).takes_openings =
+                !w.server(i % w.servers()).takes_openings;
+            return;
+        case 3:
+            w.server(i % w.servers()).agent_up =
+                !w.server(i % w.servers()).agent_up;
+            return;
+        case 4:
+            w.add_server(datum);
+            return;
+        case 5:
+            w.lose_flow_held = !w.lose_flow_held;
+            return;
+        case 6:
+            return w.pass(std::chrono::milliseconds(40 * (i % 30)));
+        default:
+            return w.send(i % 3, flow);
+        }
+    }
+
+    /// Balancers and agents restart, fall silent, lose messages, servers join
+    /// and refuse: no open flow is ever reset, each is answered in the end.
+    void flows_survive_generated_schedules()
+    {
+        const bool holds = rc::check(
+            "open flows are not reset",
+            []
+            {
+                dispatch_world w;
+                start(w, 4, 3);
+                for (std::uint16_t c = 1; c <= 5; ++c)
+                    w.open(c % 3U, c);
+                const auto steps = *rc::gen::container<
+                    std::vector<std::tuple<int, std::uint16_t, std::size_t>>>(
+                    rc::gen::tuple(rc::gen::inRange(0, 12),
+                                   rc::gen::inRange<std::uint16_t>(1, 6),
+                                   rc::gen::inRange<std::size_t>(0, 60)));
+                for (const auto& [what, flow, i] : steps)
+                    step(w, what, flow, i);
+                w.lose_flow_held = false;
+                for (std::size_t s = 0; s < w.servers(); ++s)
+                    w.server(s).agent_up = true;
+                w.pass(1s);
+                for (std::uint16_t c = 1; c <= 5; ++c)
+                {
+                    const std::size_t before = w.caller(c).answers;
+                    for (int i = 0; i < 4; ++i)
+                    {
+                        w.send(1, c);
+                        w.pass(200ms);
+                    }
+                    RC_ASSERT(w.caller(c).resets == 0U);
+                    RC_ASSERT(w.caller(c).answers > before);
+                }
+            });
+        CPPUNIT_ASSERT(holds);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(flow_dispatcher_test);
+
+} // namespace
