Callers of dead flows learn of it soon

The agent of a server that had ended was counted as one that may hold flows, for 15 s; a reset needed 3 s since the start and two packets of the caller, which come 1.6 s apart by then.

Ruled out: the start itself (0.1 s to routes and agents).

Change: an agent whose server has gone holds nothing; one that restarts says so (15 s), one that falls silent without a word counts for 4 s; balancers name the agents that they know to each other, so that a restarted one waits for those that it has not heard; a lost request is kept for 0.35 s and asked for once more. The generated schedules found three ways of resetting too early on the way: agents unknown to a restarted balancer, a search that went on with a server that had gone, an agent that came up without a heartbeat (the model's).

--- a/include/briarfield/control/dispatch_messages.hpp
+++ b/include/briarfield/control/dispatch_messages.hpp
@@ -26,6 +26,7 @@
     std::vector<endpoint> balancers; ///< Where they take frames.
     std::vector<endpoint> agents;    ///< The same.
     bool leaving = false;            ///< The sender is stopping.
+    std::uint64_t incarnation = 0;   ///< Differs with each start.
 };
 
 /// \brief What a control datagram between balancers and agents carries.
--- a/include/briarfield/dispatch/agent_directory.hpp
+++ b/include/briarfield/dispatch/agent_directory.hpp
@@ -42,6 +42,7 @@
     std::uint32_t flows = 0;     ///< Open flows.
     float busy = 0;              ///< Requests in progress, on average.
     std::uint32_t warmup_ms = 0; ///< How long the server stays slow.
+    bool restarting = false;     ///< The agent stops; its server may live on.
 };
 
 /// \brief Position of an agent in an \ref agent_directory; never reused.
@@ -59,8 +60,11 @@
     {
         /// A few heartbeats may be lost before new flows avoid the agent.
         duration fresh_for = std::chrono::milliseconds(1100);
-        /// An agent that restarts within this time may still hold flows.
-        duration known_for = std::chrono::seconds(15);
+        /// An agent that fell silent without a word may be back with its
+        /// flows within this time; after it callers do better elsewhere.
+        duration known_for = std::chrono::seconds(4);
+        /// The same for one that said that it restarts.
+        duration restart_for = std::chrono::seconds(15);
     };
 
     /// \brief An agent and what came with its last heartbeat.
@@ -90,9 +94,15 @@
     /// \brief Whether the agent was heard of lately.
     bool fresh(agent_index i) const;
 
-    /// \brief Whether the agent may still hold flows.
+    /// \brief Whether the agent's server may still hold flows.
     bool known(agent_index i) const;
 
+    /// \brief Notes that another balancer knows an agent at \a data.
+    void note_named(const endpoint& data);
+
+    /// \brief Whether an agent that others know has not been heard here.
+    bool awaits_named() const;
+
     /// \brief Whether the agent's server takes new flows of service \a tag.
     bool takes_flows(agent_index i, service_tag tag) const;
 
@@ -115,6 +125,7 @@
     options options_;
     std::vector<record> records_;
     std::unordered_map<endpoint, agent_index, endpoint_hash> by_data_;
+    std::unordered_map<endpoint, time_point, endpoint_hash> named_;
 };
 
 } // namespace briarfield
--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -52,6 +52,9 @@
     agent_index agent = no_agent; ///< For action::forward.
     forward_note note;            ///< For action::forward.
     std::uint32_t reset_sequence = 0;
+    /// A dropped packet is to be handed in again after this, if positive: the
+    /// flow is probably gone, and its caller should learn of it soon.
+    duration ask_again_after{};
 };
 
 /// \brief The balancer's decision for each packet, free of I/O.
@@ -73,8 +76,9 @@
         std::string zone; ///< Of this balancer.
         /// Agents send several heartbeats in that time, so that all are known.
         duration settle = std::chrono::milliseconds(1500);
-        /// Nothing that may be a flow is reset earlier after the start.
-        duration reset_settle = std::chrono::seconds(3);
+        /// Nothing that may be a flow is reset earlier after the start; by
+        /// then other balancers have named the agents that they know.
+        duration reset_settle = std::chrono::seconds(1);
         /// A server that does not answer a search for so long is passed over.
         duration search_patience = std::chrono::milliseconds(120);
         /// An opening without an answer for so long goes to another server.
@@ -136,6 +140,7 @@
     dispatch_verdict search(const flow_packet& p, flow_location& where);
     dispatch_verdict give_up(const flow_packet& p, flow_location& where);
     bool certainly_gone(const flow_location& where) const;
+    duration next_try(const flow_packet& p, flow_location& where) const;
     agent_index next_to_ask(const flow_key& key,
                             const flow_location& where) const;
     dispatch_verdict
--- a/include/briarfield/dispatch/flow_locator.hpp
+++ b/include/briarfield/dispatch/flow_locator.hpp
@@ -32,6 +32,7 @@
     time_point first_lost{};        ///< When the first round found nothing.
     unsigned copy = 0;              ///< Of the opening that was placed last.
     unsigned rounds = 0;            ///< Searches that found nothing.
+    time_point asks_again{};        ///< When a kept packet is handed in again.
     bool unanswered = false;        ///< A server of this round said nothing.
     std::vector<agent_index> tried; ///< Servers that do not have the flow.
 };
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -25,6 +25,7 @@
     endpoint relay;   ///< Frames of our own processes.
     std::uint16_t caller_port = 0; ///< Where callers take packets.
     std::vector<endpoint> seeds;   ///< Relay addresses of some balancers.
+    std::uint64_t incarnation = 0; ///< Differs with each start.
     flow_dispatcher::options dispatch;
     duration notice_interval = std::chrono::seconds(1);
 };
@@ -87,6 +88,7 @@
     void carry_out(const dispatch_verdict& v,
                    byte_span packet,
                    const flow_packet& p);
+    void ask_again_later(byte_span packet, duration delay);
     balancer_notice make_notice(bool with_agents);
     void send_notice(const endpoint& to, const balancer_notice& notice);
     void send_notices();
@@ -105,6 +107,9 @@
     std::size_t listed_balancers_ = 0; ///< Where the next notice goes on.
     std::size_t listed_agents_ = 0;    ///< The same.
     std::uint64_t malformed_ = 0;
+    std::uint64_t incarnation_;
+    std::size_t kept_packets_ = 0; ///< By ask_again_later.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     timer_id notice_timer_ = 0;
     timer_id check_timer_ = 0;
 };
--- a/include/briarfield/relay/relay_peers.hpp
+++ b/include/briarfield/relay/relay_peers.hpp
@@ -25,8 +25,10 @@
 
     void add_seed(const endpoint& relay);
 
-    /// \brief Notes a sign of life. \returns whether it was unknown.
-    bool heard(const endpoint& relay);
+    /// \brief Notes a sign of life.
+    ///
+    /// \returns whether the balancer was unknown, or has started anew.
+    bool heard(const endpoint& relay, std::uint64_t incarnation);
 
     /// \brief Notes a balancer that another one named; true if it is new.
     bool introduced(const endpoint& relay);
@@ -44,6 +46,7 @@
     struct peer
     {
         time_point last{};
+        std::uint64_t incarnation = 0;
         bool seed = false;
         bool ever_heard = false;
     };
--- a/src/control/dispatch.capnp
+++ b/src/control/dispatch.capnp
@@ -25,6 +25,7 @@
   flows @7 :UInt32;
   busy @8 :Float32;            # requests in progress, on average
   warmup @9 :UInt32;           # milliseconds
+  restarting @10 :Bool;        # the agent stops; its server may live on
 }
 
 # An agent tells the balancer that sent a packet: my server has the flow.
@@ -42,6 +43,7 @@
   balancers @2 :List(Control.Address); # where they take frames
   agents @3 :List(Control.Address);    # the same; to balancers only
   leaving @4 :Bool;
+  incarnation @5 :UInt64;              # differs with each start
 }
 
 struct DispatchDatagram {
--- a/src/control/dispatch.capnp.h
+++ b/src/control/dispatch.capnp.h
@@ -76,7 +76,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea9e66e885baa2d9, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ea9e66e885baa2d9, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -145,6 +145,8 @@
 
   inline  ::uint32_t getWarmup() const;
 
+  inline bool getRestarting() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -215,6 +217,9 @@
   inline  ::uint32_t getWarmup();
   inline void setWarmup( ::uint32_t value);
 
+  inline bool getRestarting();
+  inline void setRestarting(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -381,6 +386,8 @@
 
   inline bool getLeaving() const;
 
+  inline  ::uint64_t getIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -436,6 +443,9 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -779,6 +789,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AgentStatus::Reader::getRestarting() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
+}
+
+inline bool AgentStatus::Builder::getRestarting() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
+}
+inline void AgentStatus::Builder::setRestarting(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FlowHeld::Reader::hasSource() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1045,6 +1069,20 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t BalancerNotice::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BalancerNotice::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void BalancerNotice::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::briarfield::wire::DispatchDatagram::Which DispatchDatagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/control/dispatch_messages.cpp
+++ b/src/control/dispatch_messages.cpp
@@ -43,6 +43,7 @@
     w.setFlows(s.flows);
     w.setBusy(s.busy);
     w.setWarmup(s.warmup_ms);
+    w.setRestarting(s.restarting);
 }
 
 void write(wire::DispatchDatagram::Builder root, const flow_held_message& m)
@@ -64,6 +65,7 @@
               n.balancers);
     write_all(w.initAgents(static_cast<unsigned>(n.agents.size())), n.agents);
     w.setLeaving(n.leaving);
+    w.setIncarnation(n.incarnation);
 }
 
 result<dispatch_message> read(wire::AgentStatus::Reader r)
@@ -82,6 +84,7 @@
     s.flows = r.getFlows();
     s.busy = r.getBusy();
     s.warmup_ms = r.getWarmup();
+    s.restarting = r.getRestarting();
     return dispatch_message(std::move(s));
 }
 
@@ -108,6 +111,7 @@
     BOOST_OUTCOME_TRY(agents_value, read_all(r.getAgents()));
     n.agents = std::move(agents_value);
     n.leaving = r.getLeaving();
+    n.incarnation = r.getIncarnation();
     return dispatch_message(std::move(n));
 }
 
--- a/src/dispatch/agent_directory.cpp
+++ b/src/dispatch/agent_directory.cpp
@@ -38,6 +38,7 @@
         i = static_cast<agent_index>(records_.size());
         records_.emplace_back();
         by_data_.emplace(status.data, i);
+        named_.erase(status.data);
     }
     record& r = records_[i];
     if (!first && stale(r, status))
@@ -71,17 +72,38 @@
 
 bool agent_directory::known(agent_index i) const
 {
-    return clock_->now() - records_[i].heard <= options_.known_for;
+    const record& r = records_[i];
+    if (r.status.state == server_state::gone)
+        return false;
+    const duration silence = clock_->now() - r.heard;
+    return silence <=
+           (r.status.restarting ? options_.restart_for : options_.known_for);
+}
+
+void agent_directory::note_named(const endpoint& data)
+{
+    if (find(data) == no_agent)
+        named_.emplace(data, clock_->now());
+}
+
+bool agent_directory::awaits_named() const
+{
+    return !named_.empty();
 }
 
 bool agent_directory::takes_flows(agent_index i, service_tag tag) const
 {
     const record& r = records_[i];
-    return r.tag == tag && r.status.state == server_state::ready && fresh(i);
+    return r.tag == tag && r.status.state == server_state::ready &&
+           !r.status.restarting && fresh(i);
 }
 
 void agent_directory::check()
 {
+    const time_point now = clock_->now();
+    for (auto i = named_.begin(); i != named_.end();)
+        i = now - i->second > options_.known_for ? named_.erase(i)
+                                                 : std::next(i);
     for (std::size_t i = 0; i < records_.size(); ++i)
     {
         record& r = records_[i];
@@ -89,7 +111,7 @@
             continue;
         r.reported_lost = true;
         if (on_silent)
-            on_silent(r, clock_->now() - r.heard);
+            on_silent(r, now - r.heard);
     }
 }
 
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -193,9 +193,10 @@
                                        flow_location& where)
 {
     const time_point now = clock_->now();
-    const bool certain = where.state == location_state::placed ||
-                         where.state == location_state::confirmed;
-    if (certain && where.agent != no_agent)
+    const bool certain = (where.state == location_state::placed ||
+                          where.state == location_state::confirmed) &&
+                         where.agent != no_agent && agents_->known(where.agent);
+    if (certain)
         return forward(dispatch_event::forwarded, where.agent,
                        {forward_mode::known, 0});
     if (where.state == location_state::lost)
@@ -207,7 +208,8 @@
         where.tried.clear();
         where.unanswered = false;
     }
-    if (where.agent != no_agent && now - where.asked < options_.search_patience)
+    if (where.agent != no_agent && agents_->known(where.agent) &&
+        now - where.asked < options_.search_patience)
         return forward(dispatch_event::searched, where.agent,
                        {forward_mode::search, 0});
     if (where.agent != no_agent)
@@ -269,9 +271,27 @@
     where.state = location_state::lost;
     if (where.rounds++ == 0)
         where.first_lost = now;
-    if (p.kind == packet_kind::reset || !certainly_gone(where))
+    if (p.kind == packet_kind::reset)
         return drop(dispatch_event::dropped_not_found);
-    return reset(p, dispatch_event::reset_not_found);
+    if (certainly_gone(where))
+        return reset(p, dispatch_event::reset_not_found);
+    dispatch_verdict v = drop(dispatch_event::dropped_not_found);
+    v.ask_again_after = next_try(p, where);
+    return v;
+}
+
+/// When a request on a lost flow is to be tried again without its caller; 0
+/// if that is under way, or the packet is no request.
+duration flow_dispatcher::next_try(const flow_packet& p,
+                                   flow_location& where) const
+{
+    const time_point now = clock_->now();
+    if (p.payload_size == 0 || where.asks_again > now)
+        return duration(0);
+    const duration start_left = options_.reset_settle - (now - started_);
+    const duration delay = std::max(options_.reset_delay, start_left);
+    where.asks_again = now + delay;
+    return delay;
 }
 
 /// Whether no live server can have the flow: each known one denied it, in two
@@ -279,7 +299,7 @@
 bool flow_dispatcher::certainly_gone(const flow_location& where) const
 {
     return where.rounds > 1 && !where.unanswered && agents_->size() > 0 &&
-           settled(options_.reset_settle) &&
+           !agents_->awaits_named() && settled(options_.reset_settle) &&
            clock_->now() - where.first_lost >= options_.reset_delay;
 }
 
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -174,7 +174,7 @@
                      notice.relay.to_string());
         return balancers_.left(notice.relay);
     }
-    bool is_new = balancers_.heard(notice.relay);
+    bool is_new = balancers_.heard(notice.relay, notice.incarnation);
     if (is_new)
         spdlog::info("event=balancer_heard balancer={}",
                      notice.relay.to_string());
@@ -218,7 +218,7 @@
 void relay_agent::leave()
 {
     agent_status s = make_status();
-    s.state = server_state::unknown;
+    s.restarting = true;
     const std::string frame = message_frame(s);
     for (const endpoint& balancer : balancers_.contacts())
         relay_->queue_copy(balancer, bytes_of(frame));
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -22,6 +22,9 @@
 /// heartbeat of it has come.
 constexpr duration greeting_interval = 400ms;
 
+/// Packets kept for a second search; one a lost flow.
+constexpr std::size_t most_kept_packets = 512;
+
 /// Part of \a all that a notice can hold; \a cursor goes round all of it.
 std::vector<endpoint> next_of(const std::vector<endpoint>& all,
                               std::size_t& cursor)
@@ -60,7 +63,7 @@
                   routes_,
                   agents_,
                   std::move(policy)),
-      peers_(loop.timers().time_source())
+      peers_(loop.timers().time_source()), incarnation_(options.incarnation)
 {
     for (const endpoint& seed : options_.seeds)
         if (seed != options_.relay)
@@ -70,6 +73,7 @@
 
 relay_balancer::~relay_balancer()
 {
+    *alive_ = false;
     loop_->timers().cancel(notice_timer_);
     loop_->timers().cancel(check_timer_);
 }
@@ -229,6 +233,8 @@
     switch (v.what)
     {
     case dispatch_verdict::action::drop:
+        if (v.ask_again_after > duration(0))
+            ask_again_later(packet, v.ask_again_after);
         return;
     case dispatch_verdict::action::forward:
         relay_->queue(agents_.at(v.agent).status.data,
@@ -242,6 +248,27 @@
     }
 }
 
+void relay_balancer::ask_again_later(byte_span packet, duration delay)
+{
+    if (kept_packets_ == most_kept_packets)
+        return;
+    ++kept_packets_;
+    std::vector<std::uint8_t> copy(relay_frame_overhead);
+    copy.insert(copy.end(), packet.begin(), packet.end());
+    loop_->timers().schedule(
+        delay,
+        [this, alive = alive_, copy = std::move(copy)]() mutable
+        {
+            if (!*alive)
+                return;
+            --kept_packets_;
+            on_caller_datagram(byte_span(copy.data(), copy.size())
+                                   .drop_front(relay_frame_overhead));
+            relay_->flush();
+            callers_->flush();
+        });
+}
+
 void relay_balancer::on_message(const relay_frame& frame)
 {
     const auto message = decode_dispatch_message(text_of(frame.body));
@@ -275,7 +302,7 @@
                      notice.relay.to_string());
         return peers_.left(notice.relay);
     }
-    if (peers_.heard(notice.relay))
+    if (peers_.heard(notice.relay, notice.incarnation))
     {
         spdlog::info("event=balancer_heard balancer={} routes={}",
                      notice.relay.to_string(), notice.config_version);
@@ -287,6 +314,7 @@
     const time_point now = loop_->timers().now();
     for (const endpoint& agent : notice.agents)
     {
+        agents_.note_named(agent);
         const agent_index known = agents_.find(agent);
         if (known != no_agent && agents_.fresh(known))
             continue;
@@ -304,16 +332,17 @@
 {
     balancer_notice notice;
     notice.relay = options_.relay;
+    notice.incarnation = incarnation_;
     notice.config_version = routes_.version();
     notice.balancers = next_of(peers_.alive(), listed_balancers_);
     if (!with_agents)
         return notice;
-    std::vector<endpoint> fresh;
+    std::vector<endpoint> known;
     for (std::size_t i = 0; i < agents_.size(); ++i)
-        if (agents_.fresh(static_cast<agent_index>(i)))
-            fresh.push_back(
+        if (agents_.known(static_cast<agent_index>(i)))
+            known.push_back(
                 agents_.at(static_cast<agent_index>(i)).status.data);
-    notice.agents = next_of(fresh, listed_agents_);
+    notice.agents = next_of(known, listed_agents_);
     return notice;
 }
 
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -8,10 +8,11 @@
     peers_[relay].seed = true;
 }
 
-bool relay_peers::heard(const endpoint& relay)
+bool relay_peers::heard(const endpoint& relay, std::uint64_t incarnation)
 {
     peer& p = peers_[relay];
-    const bool fresh = !p.ever_heard;
+    const bool fresh = !p.ever_heard || p.incarnation != incarnation;
+    p.incarnation = incarnation;
     p.ever_heard = true;
     p.last = clock_->now();
     return fresh;
