--- a/include/briarfield/dispatch/agent_directory.hpp
+++ b/include/briarfield/dispatch/agent_directory.hpp
@@ -60,6 +60,8 @@
     {
         /// A few heartbeats may be lost before new flows avoid the agent.
         duration fresh_for = std::chrono::milliseconds(1100);
+        /// Several heartbeats reach every balancer in that time.
+        duration established_after = std::chrono::milliseconds(700);
         /// An agent that fell silent without a word may be back with its
         /// flows within this time; after it callers do better elsewhere.
         duration known_for = std::chrono::seconds(4);
@@ -73,6 +75,7 @@
         agent_status status;
         service_tag tag = 0;
         time_point heard{};
+        time_point first_heard{};
         std::uint64_t replaced_incarnation = 0; ///< The one before; ignored.
         std::uint32_t placed = 0; ///< Flows placed since the last heartbeat.
         bool reported_lost = false;
@@ -94,6 +97,10 @@
     /// \brief Whether the agent was heard of lately.
     bool fresh(agent_index i) const;
 
+    /// \brief Whether the agent has been heard of for so long that every
+    /// other balancer has heard of it, too.
+    bool established(agent_index i) const;
+
     /// \brief Whether the agent's server may still hold flows.
     bool known(agent_index i) const;
 
--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -66,7 +66,8 @@
 ///
 /// A packet is only refused when nothing of its flow can be running: an
 /// opening that no server took, or a flow that every known server denied in
-/// two rounds, by a balancer that has heard of all agents for a while.
+/// a search by a balancer that has heard of all agents for a while; a younger
+/// one asks all of them twice.
 class flow_dispatcher
 {
 public:
@@ -83,8 +84,11 @@
         duration search_patience = std::chrono::milliseconds(120);
         /// An opening without an answer for so long goes to another server.
         duration opening_patience = std::chrono::milliseconds(150);
-        /// Least time between the first fruitless search and a reset; a
-        /// heartbeat of an agent that was not known arrives in that time.
+        /// From here on all agents that have flows are known, since servers
+        /// get flows only some heartbeats after they were heard of: one
+        /// fruitless search is enough.
+        duration certain_after = std::chrono::seconds(2);
+        /// Until then a second search, so much later, must confirm the first.
         duration reset_delay = std::chrono::milliseconds(350);
         /// Packets of a lost flow start a new search only after this.
         duration search_pause = std::chrono::milliseconds(150);
@@ -135,6 +139,10 @@
     agent_index choose_in(service_tag service,
                           std::uint64_t hash,
                           const flow_location& where);
+    void collect_candidates(service_tag service,
+                            std::uint64_t hash,
+                            const flow_location& where,
+                            bool established);
     dispatch_verdict without_route(const flow_packet& p);
     dispatch_verdict lead(const flow_packet& p, flow_location& where);
     dispatch_verdict search(const flow_packet& p, flow_location& where);
--- a/src/dispatch/agent_directory.cpp
+++ b/src/dispatch/agent_directory.cpp
@@ -39,6 +39,7 @@
         records_.emplace_back();
         by_data_.emplace(status.data, i);
         named_.erase(status.data);
+        records_[i].first_heard = clock_->now();
     }
     record& r = records_[i];
     if (!first && stale(r, status))
@@ -70,6 +71,12 @@
     return clock_->now() - records_[i].heard <= options_.fresh_for;
 }
 
+bool agent_directory::established(agent_index i) const
+{
+    return clock_->now() - records_[i].first_heard >=
+           options_.established_after;
+}
+
 bool agent_directory::known(agent_index i) const
 {
     const record& r = records_[i];
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -173,19 +173,33 @@
                                        const flow_location& where)
 {
     candidates_.clear();
+    collect_candidates(service, hash, where, true);
+    if (candidates_.empty())
+        collect_candidates(service, hash, where, false);
+    if (candidates_.empty())
+        return no_agent;
+    return candidates_[policy_(candidates_)].agent;
+}
+
+/// Servers that take flows of \a service; with \a established only those that
+/// other balancers must have heard of by now.
+void flow_dispatcher::collect_candidates(service_tag service,
+                                         std::uint64_t hash,
+                                         const flow_location& where,
+                                         bool established)
+{
     for (std::size_t i = 0; i < agents_->size(); ++i)
     {
         const auto index = static_cast<agent_index>(i);
         if (!agents_->takes_flows(index, service) ||
             contains(where.tried, index))
             continue;
+        if (established && !agents_->established(index))
+            continue;
         const agent_directory::record& r = agents_->at(index);
         candidates_.push_back({index, placement_rank(hash, r.status.data),
                                r.status.zone == options_.zone, &r});
     }
-    if (candidates_.empty())
-        return no_agent;
-    return candidates_[policy_(candidates_)].agent;
 }
 
 /// Sends a packet of an existing flow on its way.
@@ -294,12 +308,15 @@
     return delay;
 }
 
-/// Whether no live server can have the flow: each known one denied it, in two
-/// rounds so far apart that a server unknown before would have been heard of.
+/// Whether no live server can have the flow: each known one denied it, and no
+/// other can have been given flows.
 bool flow_dispatcher::certainly_gone(const flow_location& where) const
 {
-    return where.rounds > 1 && !where.unanswered && agents_->size() > 0 &&
-           !agents_->awaits_named() && settled(options_.reset_settle) &&
+    if (where.unanswered || agents_->size() == 0 || agents_->awaits_named())
+        return false;
+    if (settled(options_.certain_after))
+        return true;
+    return where.rounds > 1 && settled(options_.reset_settle) &&
            clock_->now() - where.first_lost >= options_.reset_delay;
 }
 
--- a/test/support/dispatch_world.hpp
+++ b/test/support/dispatch_world.hpp
@@ -4,7 +4,7 @@
 #include "briarfield/dispatch/flow_dispatcher.hpp"
 #include "briarfield/dispatch/server_gate.hpp"
 
-#include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -28,6 +28,7 @@
     std::uint64_t sequence = 0;
     bool agent_up = true;
     time_point last_up{};
+    time_point started{};
     bool takes_openings = true;
     std::set<std::uint16_t> flows;   ///< Open or half open, by caller port.
     std::size_t openings = 0;        ///< That reached the server.
@@ -91,6 +92,9 @@
 
     manual_clock& time() { return clock_; }
 
+    /// Balancer that hears an agent only when that has been up for a while.
+    std::size_t hard_of_hearing = std::numeric_limits<std::size_t>::max();
+
     /// Loses the messages by which agents say that they have a flow.
     bool lose_flow_held = false;
 
@@ -111,6 +115,7 @@
     void from_server(std::size_t s, const flow_packet& p, std::uint32_t tag);
     void make_agent(world_server& s, std::uint64_t born_ms);
     void name_agents();
+    bool hears(std::size_t b, const endpoint& relay) const;
     /// Whether nobody can hold it against us that the flow is reset: it is
     /// gone, or its agent went away without a word, and either no balancer
     /// that is up has ever heard of it or a disturbed machine counts no more.
