Agents whose server was never seen are not waited for

The agent of an instance that was taken away 0.1 s after its start counted as one that may be back with its flows.

Test agent_without_server_blocks_no_reset.

--- a/include/briarfield/dispatch/agent_directory.hpp
+++ b/include/briarfield/dispatch/agent_directory.hpp
@@ -19,10 +19,11 @@
 /// \brief What an agent says of its backend server.
 enum class server_state : std::uint8_t
 {
-    unknown,  ///< The server has not announced itself yet.
+    unknown,  ///< The server has not announced itself since the agent started.
     ready,    ///< Takes new flows.
     draining, ///< Keeps its flows, gets no new ones.
     gone,     ///< Ended.
+    silent,   ///< Nothing was heard of it for too long.
     count_
 };
 
@@ -98,8 +99,8 @@
     /// \brief Whether the agent was heard of lately.
     bool fresh(agent_index i) const;
 
-    /// \brief Whether the agent has been heard of for so long that every
-    /// other balancer has heard of it, too.
+    /// \brief Whether the server has announced itself, and the agent has been
+    /// heard of for so long that every other balancer knows it, too.
     bool established(agent_index i) const;
 
     /// \brief Whether the agent's server may still hold flows.
@@ -111,7 +112,8 @@
     /// \brief Whether an agent that others know has not been heard here.
     bool awaits_named() const;
 
-    /// \brief Whether the agent's server takes new flows of service \a tag.
+    /// \brief Whether the agent's server takes new flows of service \a tag,
+    /// or will probably do when it has started.
     bool takes_flows(agent_index i, service_tag tag) const;
 
     /// \brief Notes a flow placed on \a i until its next heartbeat.
--- a/src/control/dispatch.capnp
+++ b/src/control/dispatch.capnp
@@ -11,6 +11,7 @@
   ready @1;
   draining @2;
   gone @3;
+  silent @4;
 }
 
 # Heartbeat of an agent.
--- a/src/control/dispatch.capnp.h
+++ b/src/control/dispatch.capnp.h
@@ -23,6 +23,7 @@
   READY,
   DRAINING,
   GONE,
+  SILENT,
 };
 CAPNP_DECLARE_ENUM(ServerState, c3ea4e50efc22650);
 CAPNP_DECLARE_SCHEMA(f54d217f3afa356a);
--- a/src/control/dispatch_messages.cpp
+++ b/src/control/dispatch_messages.cpp
@@ -70,7 +70,7 @@
 
 result<dispatch_message> read(wire::AgentStatus::Reader r)
 {
-    if (r.getState() > wire::ServerState::GONE)
+    if (r.getState() > wire::ServerState::SILENT)
         return fail(errc::message_malformed, "server state");
     agent_status s;
     BOOST_OUTCOME_TRY(data_value, read_endpoint(r.getData()));
--- a/src/dispatch/agent_directory.cpp
+++ b/src/dispatch/agent_directory.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr std::string_view state_names[] = {"unknown", "ready", "draining",
-                                            "gone"};
+                                            "gone", "silent"};
 static_assert(std::size(state_names) ==
               static_cast<std::size_t>(server_state::count_));
 
@@ -74,8 +74,9 @@
 
 bool agent_directory::established(agent_index i) const
 {
-    return clock_->now() - records_[i].first_heard >=
-           options_.established_after;
+    const record& r = records_[i];
+    return r.status.state == server_state::ready &&
+           clock_->now() - r.first_heard >= options_.established_after;
 }
 
 bool agent_directory::known(agent_index i) const
@@ -83,6 +84,9 @@
     const record& r = records_[i];
     if (r.status.state == server_state::gone)
         return false;
+    // Nobody has seen its server: there is nothing to wait for.
+    if (r.status.state == server_state::unknown && !fresh(i))
+        return false;
     const duration silence = clock_->now() - r.heard;
     return silence <=
            (r.status.restarting ? options_.restart_for : options_.known_for);
@@ -102,8 +106,9 @@
 bool agent_directory::takes_flows(agent_index i, service_tag tag) const
 {
     const record& r = records_[i];
-    return r.tag == tag && r.status.state == server_state::ready &&
-           !r.status.restarting && fresh(i);
+    const bool may_take = r.status.state == server_state::ready ||
+                          r.status.state == server_state::unknown;
+    return r.tag == tag && may_take && !r.status.restarting && fresh(i);
 }
 
 void agent_directory::check()
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -193,10 +193,9 @@
     s.sequence = ++sequence_;
     s.service = latest.service;
     s.zone = options_.zone;
-    s.state = server_.silent() ? server_state::unknown : server_.state();
-    // Before the first heartbeat of the server the settings count.
-    if (server_.state() == server_state::unknown && !server_.silent())
-        s.state = server_state::ready;
+    const bool may_live = server_.state() != server_state::gone;
+    s.state =
+        server_.silent() && may_live ? server_state::silent : server_.state();
     s.slots = latest.slots;
     s.flows = gate_.open_flows();
     s.busy = static_cast<float>(gate_.mean_in_progress());
--- a/test/dispatch/flow_dispatcher_test.cpp
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(flow_on_a_silent_agent_is_kept_for_a_while);
     CPPUNIT_TEST(flow_on_a_restarting_agent_is_kept_for_long);
     CPPUNIT_TEST(agent_that_has_left_blocks_no_reset);
+    CPPUNIT_TEST(agent_without_server_blocks_no_reset);
     CPPUNIT_TEST(restarted_balancer_hears_of_silent_agents);
     CPPUNIT_TEST(flow_of_a_removed_route_is_reset);
     CPPUNIT_TEST(flow_of_a_route_not_yet_known_is_not_reset);
@@ -275,6 +276,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(1).resets_allowed);
     }
 
+    /// sabah-pool scale-2: after all was off, an agent came up for 0.1 s on
+    /// an instance whose server had been about to leave; for 4 s no caller of
+    /// a dead flow was told.
+    void agent_without_server_blocks_no_reset()
+    {
+        start(3, 1);
+        w_.open(0, 1);
+        const std::size_t s = w_.holder(1);
+        w_.server(s).flows.clear();
+        w_.server(s).incarnation += 1;
+        w_.server(s).sequence = 0;
+        say_farewell(s, server_state::unknown, false);
+        w_.pass(1500ms);
+        w_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(1).resets_allowed);
+    }
+
     void restarted_balancer_hears_of_silent_agents()
     {
         start(3, 2);
