A server that has just said busy is insisted on when all are

Change: busy counts for 40 ms, not until the next heartbeat, and an opening for which only busy servers are left insists at once.

--- a/include/briarfield/dispatch/agent_directory.hpp
+++ b/include/briarfield/dispatch/agent_directory.hpp
@@ -63,6 +63,8 @@
         duration fresh_for = std::chrono::milliseconds(1100);
         /// Several heartbeats reach every balancer in that time.
         duration established_after = std::chrono::milliseconds(700);
+        /// A few requests are answered in that time.
+        duration busy_for = std::chrono::milliseconds(40);
         /// An agent that fell silent without a word may be back with its
         /// flows within this time; after it callers do better elsewhere.
         duration known_for = std::chrono::seconds(4);
@@ -79,7 +81,7 @@
         time_point first_heard{};
         std::uint64_t replaced_incarnation = 0; ///< The one before; ignored.
         std::uint32_t placed = 0; ///< Flows placed since the last heartbeat.
-        bool busy = false;        ///< Since the last heartbeat.
+        time_point busy_until{};
         bool reported_lost = false;
     };
 
@@ -119,9 +121,17 @@
     /// \brief Notes a flow placed on \a i until its next heartbeat.
     void note_placed(agent_index i) { ++records_[i].placed; }
 
-    /// \brief Notes that \a i gave an opening back since it was busy; until its
-    /// next heartbeat it counts as fully loaded.
-    void note_busy(agent_index i) { records_[i].busy = true; }
+    /// \brief Notes that \a i gave an opening back since it was busy.
+    void note_busy(agent_index i)
+    {
+        records_[i].busy_until = clock_->now() + options_.busy_for;
+    }
+
+    /// \brief Whether the agent has just said that it is busy.
+    bool busy(agent_index i) const
+    {
+        return clock_->now() < records_[i].busy_until;
+    }
 
     std::size_t size() const { return records_.size(); }
 
--- a/include/briarfield/dispatch/placement.hpp
+++ b/include/briarfield/dispatch/placement.hpp
@@ -16,6 +16,7 @@
     agent_index agent = no_agent;
     std::uint64_t rank = 0; ///< Rendezvous hash of the flow and the agent.
     bool same_zone = false; ///< As the balancer.
+    bool busy = false;      ///< It has just said so.
     const agent_directory::record* record = nullptr;
 };
 
--- a/src/dispatch/agent_directory.cpp
+++ b/src/dispatch/agent_directory.cpp
@@ -54,7 +54,6 @@
     r.tag = make_service_tag(status.service);
     r.heard = clock_->now();
     r.placed = 0;
-    r.busy = false;
     r.reported_lost = false;
     if (changed && on_change)
         on_change(r);
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -148,6 +148,8 @@
             return drop(dispatch_event::dropped_settling);
         return reset(p, dispatch_event::refused_no_server);
     }
+    // All that were not busy of late have been passed over.
+    where.insists = where.insists || agents_->busy(agent);
     const bool again = !where.tried.empty();
     where.state = location_state::placed;
     where.agent = agent;
@@ -214,7 +216,8 @@
             continue;
         const agent_directory::record& r = agents_->at(index);
         candidates_.push_back({index, placement_rank(hash, r.status.data),
-                               r.status.zone == options_.zone, &r});
+                               r.status.zone == options_.zone,
+                               agents_->busy(index), &r});
     }
 }
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -15,9 +15,6 @@
 /// Work on a server that is still warming up takes about that much longer.
 constexpr double warmup_factor = 1.6;
 
-/// A server that has just said that it is busy comes after all others.
-constexpr double busy_penalty = 4;
-
 /// Loads closer than this are equal, so that the zone and the rank decide.
 constexpr double equal_load = 0.05; // Of a slot.
 
@@ -44,7 +41,10 @@
     {
         const double c = cost(all[i]);
         const bool equal = std::abs(c - best_cost) < equal_load;
-        if (equal ? preferred(all[i], all[best]) : c < best_cost)
+        const bool better = all[i].busy != all[best].busy ? all[best].busy
+                            : equal ? preferred(all[i], all[best])
+                                    : c < best_cost;
+        if (better)
         {
             best = i;
             best_cost = c;
@@ -76,8 +76,7 @@
 {
     const double slots = std::max(1U, r.status.slots);
     const double flows = r.status.flows + r.placed;
-    const double load = (r.status.busy + idle_flow_cost * flows) / slots +
-                        (r.busy ? busy_penalty : 0);
+    const double load = (r.status.busy + idle_flow_cost * flows) / slots;
     return r.status.warmup_ms > 0 ? (load + 1) * warmup_factor - 1 : load;
 }
 
