--- /dev/null
+++ b/test/control/dispatch_messages_test.cpp
@@ -0,0 +1,144 @@
+#include "briarfield/control/dispatch_messages.hpp"
+
+#include "briarfield/dispatch/relay_frame.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace briarfield;
+
+endpoint address(std::uint8_t host, std::uint16_t port)
+{
+    const std::uint8_t bytes[4] = {10, 1, 2, host};
+    return {ip_address::from_v4(bytes), port};
+}
+
+class dispatch_messages_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(dispatch_messages_test);
+    CPPUNIT_TEST(status_comes_back);
+    CPPUNIT_TEST(held_flow_comes_back);
+    CPPUNIT_TEST(notice_comes_back_and_fits_a_datagram);
+    CPPUNIT_TEST(damaged_messages_are_refused);
+    CPPUNIT_TEST(frames_come_back);
+    CPPUNIT_TEST(odd_frames_are_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+    template <class T>
+    static T round_trip(const T& message)
+    {
+        const auto read =
+            decode_dispatch_message(encode_dispatch_message(message));
+        CPPUNIT_ASSERT(read);
+        CPPUNIT_ASSERT(std::holds_alternative<T>(read.value()));
+        return std::get<T>(read.value());
+    }
+
+    void status_comes_back()
+    {
+        agent_status s;
+        s.data = address(1, 8172);
+        s.incarnation = 0xfedcba9876543210;
+        s.sequence = 3;
+        s.service = "datum-live";
+        s.zone = "bagmati-a";
+        s.state = server_state::silent;
+        s.slots = 2;
+        s.flows = 40;
+        s.busy = 1.5F;
+        s.warmup_ms = 900;
+        s.restarting = true;
+        const agent_status r = round_trip(s);
+        CPPUNIT_ASSERT(r.data == s.data);
+        CPPUNIT_ASSERT_EQUAL(s.incarnation, r.incarnation);
+        CPPUNIT_ASSERT_EQUAL(s.service, r.service);
+        CPPUNIT_ASSERT(r.state == s.state);
+        CPPUNIT_ASSERT_EQUAL(s.flows, r.flows);
+        CPPUNIT_ASSERT_EQUAL(s.busy, r.busy);
+        CPPUNIT_ASSERT_EQUAL(s.warmup_ms, r.warmup_ms);
+        CPPUNIT_ASSERT(r.restarting);
+    }
+
+    void held_flow_comes_back()
+    {
+        flow_held_message m;
+        m.key = {address(1, 0).address, address(2, 0).address, 40001, 443,
+                 transport::tcp};
+        m.agent = address(3, 8172);
+        const flow_held_message r = round_trip(m);
+        CPPUNIT_ASSERT(r.key == m.key);
+        CPPUNIT_ASSERT(r.agent == m.agent);
+    }
+
+    void notice_comes_back_and_fits_a_datagram()
+    {
+        balancer_notice n;
+        n.relay = address(9, 7720);
+        n.config_version = 12;
+        n.incarnation = 77;
+        for (std::uint8_t i = 0; i < 40; ++i)
+        {
+            n.balancers.push_back(address(i, 7720));
+            n.agents.push_back(address(i, 8172));
+        }
+        const balancer_notice r = round_trip(n);
+        CPPUNIT_ASSERT(r.balancers == n.balancers);
+        CPPUNIT_ASSERT(r.agents == n.agents);
+        CPPUNIT_ASSERT_EQUAL(n.incarnation, r.incarnation);
+        constexpr std::size_t packet_limit = 2048; // Of a relay socket.
+        CPPUNIT_ASSERT(encode_dispatch_message(n).size() < packet_limit);
+    }
+
+    void damaged_messages_are_refused()
+    {
+        agent_status s;
+        s.service = "datum-live";
+        const std::string good = encode_dispatch_message(s);
+        for (std::size_t size = 0; size < good.size(); ++size)
+            CPPUNIT_ASSERT(!decode_dispatch_message(good.substr(0, size)));
+    }
+
+    void frames_come_back()
+    {
+        std::vector<std::uint8_t> buffer(relay_frame_overhead + 5, 7);
+        const byte_span packet = byte_span(buffer.data(), buffer.size())
+                                     .drop_front(relay_frame_overhead);
+        const byte_span forward = write_forward_frame(
+            packet, {forward_mode::search, make_service_tag("a")});
+        const auto f = read_relay_frame(forward);
+        CPPUNIT_ASSERT(f && f.value().kind == frame_kind::forward);
+        CPPUNIT_ASSERT(f.value().note.mode == forward_mode::search);
+        CPPUNIT_ASSERT_EQUAL(make_service_tag("a"), f.value().note.service);
+        CPPUNIT_ASSERT(f.value().body.data() == packet.data());
+        const auto g = read_relay_frame(
+            write_give_back_frame(packet, return_reason::busy));
+        CPPUNIT_ASSERT(g && g.value().kind == frame_kind::give_back);
+        CPPUNIT_ASSERT(g.value().reason == return_reason::busy);
+        CPPUNIT_ASSERT(g.value().body.data() == packet.data());
+    }
+
+    void odd_frames_are_refused()
+    {
+        std::uint8_t bytes[] = {2, 0, 0, 0, 0, 0};
+        CPPUNIT_ASSERT(read_relay_frame({bytes, 6}));
+        for (std::size_t size = 0; size < 6; ++size)
+            CPPUNIT_ASSERT(!read_relay_frame({bytes, size}));
+        bytes[1] = static_cast<std::uint8_t>(forward_mode::count_);
+        CPPUNIT_ASSERT(!read_relay_frame({bytes, 6}));
+        bytes[0] = 3;
+        bytes[1] = static_cast<std::uint8_t>(return_reason::count_);
+        CPPUNIT_ASSERT(!read_relay_frame({bytes, 6}));
+        for (const std::uint8_t kind :
+             {std::uint8_t{0}, std::uint8_t{4}, std::uint8_t{255}})
+        {
+            bytes[0] = kind;
+            CPPUNIT_ASSERT(!read_relay_frame({bytes, 6}));
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(dispatch_messages_test);
+
+} // namespace
--- /dev/null
+++ b/test/platform/records_test.cpp
@@ -0,0 +1,160 @@
+#include "records.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+namespace
+{
+
+using namespace briarfield;
+using namespace briarfield::platform;
+using json = nlohmann::json;
+
+json heartbeat_example()
+{
+    return json::parse(
+        R"({"Service":"huvo11a","Address":"10.128.0.9:8080",)"
+        R"("Zone":"bagmati-a","Version":"v1","MaxConcurrency":2,)"
+        R"("State":"ready","WarmupLeftMs":0,"Sequence":4})");
+}
+
+json route_example()
+{
+    return json::parse(
+        R"({"Name":"r-1","Host":"198.18.0.1","PathPrefix":"/8443/",)"
+        R"("Type":"idempotent","TimeoutMs":1500,"AimMs":100,"Priority":2,)"
+        R"("TrafficSplit":[{"Service":"a","Weight":90},)"
+        R"({"Service":"b","Weight":10}],"Attempts":2})");
+}
+
+class records_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(records_test);
+    CPPUNIT_TEST(heartbeat_is_read);
+    CPPUNIT_TEST(born_is_read);
+    CPPUNIT_TEST(odd_heartbeats_are_refused);
+    CPPUNIT_TEST(unknown_fields_do_no_harm);
+    CPPUNIT_TEST(routes_are_read);
+    CPPUNIT_TEST(odd_routes_are_left_out_alone);
+    CPPUNIT_TEST(odd_configurations_are_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+    static route_set routes_of(const json& routes, std::size_t& unreadable)
+    {
+        const json body = {{"Version", 7}, {"Routes", routes}};
+        const auto read = read_configuration(body.dump(), unreadable);
+        CPPUNIT_ASSERT(read);
+        return read.value();
+    }
+
+    void heartbeat_is_read()
+    {
+        const auto beat = read_heartbeat(heartbeat_example().dump(), "i-1");
+        CPPUNIT_ASSERT(beat);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), beat.value().id);
+        CPPUNIT_ASSERT_EQUAL(std::string("huvo11a"), beat.value().service);
+        CPPUNIT_ASSERT_EQUAL(2U, beat.value().slots);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), beat.value().sequence);
+        CPPUNIT_ASSERT(!beat.value().draining);
+    }
+
+    void born_is_read()
+    {
+        json body = heartbeat_example();
+        body["born"] = 1771542446241;
+        body["State"] = "draining";
+        const auto beat = read_heartbeat(body.dump(), "i-1");
+        CPPUNIT_ASSERT(beat && beat.value().draining);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1771542446241),
+                             beat.value().born_ms);
+    }
+
+    void odd_heartbeats_are_refused()
+    {
+        for (const char* field : {"Service", "Zone", "MaxConcurrency", "State",
+                                  "WarmupLeftMs", "Sequence"})
+        {
+            json missing = heartbeat_example();
+            missing.erase(field);
+            CPPUNIT_ASSERT_MESSAGE(field,
+                                   !read_heartbeat(missing.dump(), "i-1"));
+            for (const json& odd : {json(nullptr), json(-1), json(1.5),
+                                    json::array(), json(true)})
+            {
+                json changed = heartbeat_example();
+                changed[field] = odd;
+                CPPUNIT_ASSERT_MESSAGE(field,
+                                       !read_heartbeat(changed.dump(), "i-1"));
+            }
+        }
+        json state = heartbeat_example();
+        state["State"] = "resting";
+        CPPUNIT_ASSERT(!read_heartbeat(state.dump(), "i-1"));
+        for (const char* body : {"", "[]", "\"ready\"", "{", "\xff\xfe"})
+            CPPUNIT_ASSERT_MESSAGE(body, !read_heartbeat(body, "i-1"));
+    }
+
+    void unknown_fields_do_no_harm()
+    {
+        json body = heartbeat_example();
+        body["Mood"] = {{"today", "good"}};
+        CPPUNIT_ASSERT(read_heartbeat(body.dump(), "i-1"));
+    }
+
+    void routes_are_read()
+    {
+        json plain = route_example();
+        plain.erase("TrafficSplit");
+        plain["Host"] = "198.18.0.2";
+        plain["Service"] = "c";
+        std::size_t unreadable = 0;
+        const route_set set =
+            routes_of(json::array({route_example(), plain}), unreadable);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), unreadable);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), set.version);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), set.routes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("198.18.0.1:8443"),
+                             set.routes[0].address.to_string());
+        CPPUNIT_ASSERT_EQUAL(90U, set.routes[0].shares[0].weight);
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), set.routes[1].shares[0].service);
+    }
+
+    void odd_routes_are_left_out_alone()
+    {
+        const std::pair<const char*, json> odd[] = {
+            {"Host", 5},
+            {"Host", "here"},
+            {"PathPrefix", "8443"},
+            {"PathPrefix", "/http/"},
+            {"PathPrefix", "/70000/"},
+            {"PathPrefix", ""},
+            {"TrafficSplit", "a"},
+            {"TrafficSplit", json::array({json::object()})},
+            {"TrafficSplit",
+             json::array({{{"Service", "a"}, {"Weight", -1}}})}};
+        for (const auto& [field, value] : odd)
+        {
+            json route = route_example();
+            route[field] = value;
+            std::size_t unreadable = 0;
+            const route_set set =
+                routes_of(json::array({route, route_example()}), unreadable);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(field, std::size_t(1), unreadable);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(field, std::size_t(1),
+                                         set.routes.size());
+        }
+    }
+
+    void odd_configurations_are_refused()
+    {
+        std::size_t unreadable = 0;
+        for (const char* body :
+             {"", "7", "[]", "{}", R"({"Version":1})",
+              R"({"Version":"1","Routes":[]})", R"({"Version":1,"Routes":{}})"})
+            CPPUNIT_ASSERT_MESSAGE(body, !read_configuration(body, unreadable));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(records_test);
+
+} // namespace
