Fewer calls of the store: two balancers watch closely, others hear from them

Watches longer than 5 s were cut by libwebsockets, which gives an answer up after 5 s: each cut looked like a lost store and cost another read.

Change: the two first balancers watch for 3 s at a time, the others for 6 s and hear of changes in notices, 0.3 s after which they read if their own watch has brought nothing; the library's limit is 40 s, each exchange has its own timer.

--- a/include/briarfield/control/document_follower.hpp
+++ b/include/briarfield/control/document_follower.hpp
@@ -26,6 +26,8 @@
 {
     /// A watch that was cut silently is noticed after this.
     duration watch_for = std::chrono::seconds(3);
+    /// What others have heard of arrives by our own watch, too, mostly.
+    duration hearsay_delay = std::chrono::milliseconds(300);
     backoff_options retry{std::chrono::milliseconds(60),
                           std::chrono::milliseconds(400)};
 };
@@ -57,8 +59,12 @@
 
     void start();
 
-    /// \brief Reads at once, since somebody has heard of a change.
-    void read_now();
+    /// \brief Somebody else has heard of a change: reads soon, unless the
+    /// change arrives by the watch before.
+    void hear_of_change();
+
+    /// \brief Asked for the length of each watch; empty: options::watch_for.
+    std::function<duration()> watch_length;
 
     /// \brief Called with each body that was read or watched.
     std::function<void(const std::string&)> on_document;
@@ -83,6 +89,7 @@
     bool lost_ = false;
     time_point lost_since_{};
     timer_id retry_ = 0;
+    timer_id hearsay_ = 0;
     std::uint64_t call_ = 0; ///< Answers to earlier calls are not taken.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -56,6 +56,10 @@
     /// \brief What is missing while not \ref ready.
     std::string not_ready_reason() const;
 
+    /// \brief Whether this balancer is to notice a broken watch of the routes
+    /// soon; the others hear from it.
+    bool watches_closely();
+
     /// \brief Tells all others that this balancer stops.
     void leave();
 
--- a/src/control/document_follower.cpp
+++ b/src/control/document_follower.cpp
@@ -16,6 +16,7 @@
 {
     *alive_ = false;
     timers_->cancel(retry_);
+    timers_->cancel(hearsay_);
 }
 
 void document_follower::start()
@@ -23,10 +24,17 @@
     read();
 }
 
-void document_follower::read_now()
+void document_follower::hear_of_change()
 {
-    if (!reading_ && !lost_)
-        read();
+    if (hearsay_ != 0)
+        return;
+    hearsay_ = timers_->schedule(options_.hearsay_delay,
+                                 [this]
+                                 {
+                                     hearsay_ = 0;
+                                     if (!reading_ && !lost_)
+                                         read();
+                                 });
 }
 
 void document_follower::read()
@@ -49,7 +57,7 @@
 {
     const std::uint64_t call = ++call_;
     store_.watch(
-        revision_, options_.watch_for,
+        revision_, watch_length ? watch_length() : options_.watch_for,
         [this, call, alive = alive_](const result<document_state>& outcome)
         {
             if (*alive && call == call_)
@@ -69,8 +77,13 @@
     }
     delay_.reset();
     revision_ = outcome.value().revision;
-    if (outcome.value().body && on_document)
-        on_document(*outcome.value().body);
+    if (outcome.value().body)
+    {
+        timers_->cancel(hearsay_);
+        hearsay_ = 0;
+        if (on_document)
+            on_document(*outcome.value().body);
+    }
     watch();
 }
 
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -16,6 +16,10 @@
 
 constexpr std::chrono::microseconds idle_wake{1000000};
 
+/// libwebsockets gives up an answer after 5 s by default; a watch takes up to
+/// 30 s, and each exchange of ours has a timer of its own.
+constexpr unsigned answer_timeout = 40; // Seconds.
+
 void forward_lws_log(int level, const char* line)
 {
     std::string_view text(line);
@@ -75,6 +79,7 @@
     info.uid = -1;
     info.user = loop.get();
     info.vhost_name = "loop";
+    info.timeout_secs = answer_timeout;
     loop->context_ = lws_create_context(&info);
     if (loop->context_ == nullptr)
         return fail(errc::loop_failed, "libwebsockets made no context");
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -3,6 +3,7 @@
 #include "briarfield/dispatch/relay_frame.hpp"
 #include "message_frame.hpp"
 
+#include <algorithm>
 #include <spdlog/spdlog.h>
 
 namespace briarfield
@@ -22,6 +23,10 @@
 /// heartbeat of it has come.
 constexpr duration greeting_interval = 400ms;
 
+/// Balancers that watch the routes closely; one more than may be lost at once
+/// without a delay.
+constexpr std::ptrdiff_t close_watchers = 2;
+
 /// Packets kept for a second search; one a lost flow.
 constexpr std::size_t most_kept_packets = 512;
 
@@ -376,6 +381,15 @@
         loop_->timers().schedule(check_interval, [this] { check(); });
 }
 
+bool relay_balancer::watches_closely()
+{
+    const std::vector<endpoint> others = peers_.alive();
+    const auto before =
+        std::count_if(others.begin(), others.end(),
+                      [this](const endpoint& e) { return e < options_.relay; });
+    return before < close_watchers;
+}
+
 void relay_balancer::leave()
 {
     balancer_notice notice;
