--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -37,6 +37,20 @@
 /// \brief Label of \a event in logs and metrics.
 std::string_view dispatch_event_name(dispatch_event event) noexcept;
 
+/// \brief Why a fruitless search does not prove that a flow is gone.
+enum class search_doubt : std::uint8_t
+{
+    none,          ///< It does.
+    young,         ///< The balancer started too recently; it asks again.
+    unanswered,    ///< A server that was asked said nothing.
+    unheard_agent, ///< Another balancer knows an agent that was not heard here.
+    no_agents,     ///< Nobody was asked.
+    count_
+};
+
+/// \brief Label of \a doubt in logs.
+std::string_view search_doubt_name(search_doubt doubt) noexcept;
+
 /// \brief What to do with the packet in hand.
 struct dispatch_verdict
 {
@@ -52,6 +66,8 @@
     agent_index agent = no_agent; ///< For action::forward.
     forward_note note;            ///< For action::forward.
     std::uint32_t reset_sequence = 0;
+    std::size_t asked = 0; ///< Servers that denied the flow, after a search.
+    search_doubt doubt = search_doubt::none; ///< After a fruitless search.
     /// A dropped packet is to be handed in again after this, if positive: the
     /// flow is probably gone, and its caller should learn of it soon.
     duration ask_again_after{};
@@ -147,7 +163,7 @@
     dispatch_verdict lead(const flow_packet& p, flow_location& where);
     dispatch_verdict search(const flow_packet& p, flow_location& where);
     dispatch_verdict give_up(const flow_packet& p, flow_location& where);
-    bool certainly_gone(const flow_location& where) const;
+    search_doubt doubt_of(const flow_location& where) const;
     duration next_try(const flow_packet& p, flow_location& where) const;
     agent_index next_to_ask(const flow_key& key,
                             const flow_location& where) const;
--- a/src/control/dispatch_messages.cpp
+++ b/src/control/dispatch_messages.cpp
@@ -74,7 +74,7 @@
         return fail(errc::message_malformed, "server state");
     agent_status s;
     BOOST_OUTCOME_TRY(data_value, read_endpoint(r.getData()));
-    s.data = std::move(data_value);
+    s.data = data_value;
     s.incarnation = r.getIncarnation();
     s.sequence = r.getSequence();
     s.service = r.getService().cStr();
@@ -96,7 +96,7 @@
     m.key = {source.address, destination.address, source.port, destination.port,
              static_cast<transport>(r.getProtocol())};
     BOOST_OUTCOME_TRY(agent_value, read_endpoint(r.getAgent()));
-    m.agent = std::move(agent_value);
+    m.agent = agent_value;
     return dispatch_message(m);
 }
 
@@ -104,7 +104,7 @@
 {
     balancer_notice n;
     BOOST_OUTCOME_TRY(relay_value, read_endpoint(r.getRelay()));
-    n.relay = std::move(relay_value);
+    n.relay = relay_value;
     n.config_version = r.getConfigVersion();
     BOOST_OUTCOME_TRY(balancers_value, read_all(r.getBalancers()));
     n.balancers = std::move(balancers_value);
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -25,6 +25,11 @@
 static_assert(std::size(event_names) ==
               static_cast<std::size_t>(dispatch_event::count_));
 
+constexpr std::string_view doubt_names[] = {"none", "young", "unanswered",
+                                            "unheard_agent", "no_agents"};
+static_assert(std::size(doubt_names) ==
+              static_cast<std::size_t>(search_doubt::count_));
+
 bool contains(const std::vector<agent_index>& all, agent_index i)
 {
     return std::find(all.begin(), all.end(), i) != all.end();
@@ -58,6 +63,11 @@
     return event_names[static_cast<std::size_t>(event)];
 }
 
+std::string_view search_doubt_name(search_doubt doubt) noexcept
+{
+    return doubt_names[static_cast<std::size_t>(doubt)];
+}
+
 flow_dispatcher::flow_dispatcher(const clock& c,
                                  options opts,
                                  const route_table& routes,
@@ -306,10 +316,14 @@
         where.first_lost = now;
     if (p.kind == packet_kind::reset)
         return drop(dispatch_event::dropped_not_found);
-    if (certainly_gone(where))
-        return reset(p, dispatch_event::reset_not_found);
-    dispatch_verdict v = drop(dispatch_event::dropped_not_found);
-    v.ask_again_after = next_try(p, where);
+    const search_doubt doubt = doubt_of(where);
+    dispatch_verdict v = doubt == search_doubt::none
+                             ? reset(p, dispatch_event::reset_not_found)
+                             : drop(dispatch_event::dropped_not_found);
+    v.asked = where.tried.size();
+    v.doubt = doubt;
+    if (doubt != search_doubt::none)
+        v.ask_again_after = next_try(p, where);
     return v;
 }
 
@@ -327,16 +341,21 @@
     return delay;
 }
 
-/// Whether no live server can have the flow: each known one denied it, and no
-/// other can have been given flows.
-bool flow_dispatcher::certainly_gone(const flow_location& where) const
+/// What speaks against the flow being gone after each known server denied it.
+search_doubt flow_dispatcher::doubt_of(const flow_location& where) const
 {
-    if (where.unanswered || agents_->size() == 0 || agents_->awaits_named())
-        return false;
-    if (settled(options_.certain_after))
-        return true;
-    return where.rounds > 1 && settled(options_.reset_settle) &&
-           clock_->now() - where.first_lost >= options_.reset_delay;
+    if (agents_->size() == 0)
+        return search_doubt::no_agents;
+    if (where.unanswered)
+        return search_doubt::unanswered;
+    if (agents_->awaits_named())
+        return search_doubt::unheard_agent;
+    const bool asked_twice =
+        where.rounds > 1 && settled(options_.reset_settle) &&
+        clock_->now() - where.first_lost >= options_.reset_delay;
+    if (!settled(options_.certain_after) && !asked_twice)
+        return search_doubt::young;
+    return search_doubt::none;
 }
 
 dispatch_verdict flow_dispatcher::on_returned_packet(const flow_packet& p,
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -112,10 +112,10 @@
         if (v.agent == no_agent)
         {
             spdlog::info("event={} flow={} packet={} copy={} routes={} "
-                         "agents={}",
+                         "agents={} asked={} doubt={}",
                          dispatch_event_name(v.event), flow_name(p.key),
                          packet_kind_name(p.kind), p.copy, routes_.version(),
-                         agents_.size());
+                         agents_.size(), v.asked, search_doubt_name(v.doubt));
             return;
         }
         const agent_directory::record& r = agents_.at(v.agent);
--- a/test/dispatch/flow_dispatcher_test.cpp
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -187,6 +187,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), w_.caller(1).resets_allowed);
         CPPUNIT_ASSERT(w_.asks_again_after() > duration(0));
         CPPUNIT_ASSERT(w_.asks_again_after() < 400ms);
+        CPPUNIT_ASSERT(w_.doubt() == search_doubt::young);
         w_.pass_silently(w_.asks_again_after());
         w_.send(0, 1);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(1).resets_allowed);
@@ -305,6 +306,7 @@
             w_.send(0, 1);
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), w_.caller(1).resets);
+        CPPUNIT_ASSERT(w_.doubt() == search_doubt::unheard_agent);
     }
 
     void flow_of_a_removed_route_is_reset()
--- a/test/support/dispatch_world.cpp
+++ b/test/support/dispatch_world.cpp
@@ -221,7 +221,10 @@
         ++(owed_nothing(p.key.source_port) ? c.resets_allowed : c.resets);
     }
     if (v.what == dispatch_verdict::action::drop)
+    {
         asks_again_after_ = v.ask_again_after;
+        doubt_ = v.doubt;
+    }
     if (v.what == dispatch_verdict::action::forward)
         deliver(b, p, v);
 }
--- a/test/support/dispatch_world.hpp
+++ b/test/support/dispatch_world.hpp
@@ -83,6 +83,8 @@
     /// Of the last packet that was dropped.
     duration asks_again_after() const { return asks_again_after_; }
 
+    search_doubt doubt() const { return doubt_; }
+
     world_server& server(std::size_t s) { return *servers_[s]; }
     flow_dispatcher& balancer(std::size_t b) { return *balancers_[b]->core; }
     const world_caller& caller(std::uint16_t port) { return callers_[port]; }
@@ -130,6 +132,7 @@
     route_set routes_;
     std::uint64_t born_ms_ = 1;
     duration asks_again_after_{};
+    search_doubt doubt_ = search_doubt::none;
 };
 
 } // namespace briarfield::test
