Returned packets are no sign of life

For 3.4 s the dead server counted as ready, had the fewest flows, and was offered each opening of its service first; the limit on a server's silence, which guards reused addresses (ROUTE), did not work for a crashed server.

Change: only what a server sends by itself shows that it lives; a server that has returned an opening and accepted none since is reported as silent for 0.5 s at a time. Test crashed_server_is_not_tried_again_and_again failed before; crashed_server_is_silent_though_packets_come_back checks the decision, while the old sign of life was taken in relay_agent, which it does not reach.

--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -84,10 +84,13 @@
     /// within this time.
     static constexpr duration first_request = std::chrono::milliseconds(100);
 
+    /// \brief A server that returned an opening is tried again after this.
+    static constexpr duration refusal_memory = std::chrono::milliseconds(500);
+
     /// \brief A request without an answer for so long is not in progress.
     static constexpr duration longest_request = std::chrono::seconds(3);
 
-    server_gate(const clock& c, const server_registration& server)
+    server_gate(const clock& c, server_registration& server)
         : clock_(&c), server_(&server), load_(c)
     {
     }
@@ -105,6 +108,10 @@
 
     std::uint32_t open_flows() const { return open_; }
 
+    /// \brief Whether the server has just returned an opening and accepted none
+    /// since: it has no room, or is gone without a word.
+    bool server_refuses() const;
+
     /// \brief Requests that the server works on, on average of late.
     double mean_in_progress() { return load_.mean(); }
 
@@ -142,7 +149,8 @@
     gate_verdict give_back(const flow_packet& p, std::uint32_t tag);
 
     const clock* clock_;
-    const server_registration* server_;
+    server_registration* server_;
+    time_point opening_returned_{}; ///< Last one, since one was accepted.
     load_gauge load_;
     counter_set<gate_event> counters_;
     std::unordered_map<flow_key, flow, flow_key_hash> flows_;
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -68,6 +68,12 @@
     return expected >= busy_per_slot * server_->latest().slots;
 }
 
+bool server_gate::server_refuses() const
+{
+    return opening_returned_ != time_point{} &&
+           clock_->now() - opening_returned_ < refusal_memory;
+}
+
 void server_gate::note_offered()
 {
     const time_point now = clock_->now();
@@ -95,11 +101,16 @@
 gate_verdict server_gate::on_server_packet(const flow_packet& p,
                                            std::uint32_t tag)
 {
+    // What comes back says nothing about the server: its instance returns
+    // packets, too, when the server has crashed.
     if (p.returned)
         return give_back(p, tag);
+    server_->note_alive();
     gate_verdict v;
     v.what = gate_verdict::action::answer;
     v.event = p.accepts ? gate_event::accepted : gate_event::answered;
+    if (p.accepts)
+        opening_returned_ = {};
     counters_.add(v.event);
     const auto found = flows_.find(p.key);
     if (found == flows_.end())
@@ -137,6 +148,8 @@
         return v;
     }
     forget(p.key);
+    if (p.kind == packet_kind::opening)
+        opening_returned_ = clock_->now();
     v.what = gate_verdict::action::give_back;
     v.event = gate_event::given_back;
     v.balancer = balancers_[position];
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -134,7 +134,6 @@
 void relay_agent::on_server_batch(const udp_socket::datagram* batch,
                                   std::size_t count)
 {
-    server_.note_alive();
     for (std::size_t i = 0; i < count; ++i)
         on_server_datagram(batch[i].bytes);
     relay_->flush();
--- a/test/dispatch/flow_dispatcher_test.cpp
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(flow_of_a_route_not_yet_known_is_not_reset);
     CPPUNIT_TEST(draining_server_gets_no_opening);
     CPPUNIT_TEST(reused_address_gets_no_opening_of_the_old_service);
+    CPPUNIT_TEST(crashed_server_is_silent_though_packets_come_back);
+    CPPUNIT_TEST(crashed_server_is_not_tried_again_and_again);
     CPPUNIT_TEST(flows_spread_over_servers);
     CPPUNIT_TEST(flows_that_come_at_once_spread);
     CPPUNIT_TEST(busy_servers_take_what_nobody_else_can);
@@ -359,6 +361,42 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), w_.server(0).openings);
     }
 
+    void crash(std::size_t s)
+    {
+        w_.server(s).crashed = true;
+        w_.server(s).takes_openings = false;
+        w_.server(s).flows.clear();
+    }
+
+    /// sabah-pool inc-da6e: packets that came back counted as a sign of life,
+    /// so that an opening could have reached whoever got the address next.
+    void crashed_server_is_silent_though_packets_come_back()
+    {
+        start(2, 1);
+        crash(0);
+        for (std::uint16_t c = 1; c <= 120; ++c)
+        {
+            w_.open(0, c);
+            w_.pass(20ms);
+        }
+        CPPUNIT_ASSERT(w_.server(0).registration->silent());
+    }
+
+    /// The same incident: the crashed server had the fewest flows, so each
+    /// opening went there first for 3 s.
+    void crashed_server_is_not_tried_again_and_again()
+    {
+        start(3, 1);
+        crash(0);
+        const std::size_t before = w_.server(0).openings;
+        for (std::uint16_t c = 1; c <= 60; ++c)
+        {
+            w_.open(0, c);
+            w_.pass(50ms);
+        }
+        CPPUNIT_ASSERT(w_.server(0).openings - before < 15);
+    }
+
     void flows_spread_over_servers()
     {
         start(7, 1);
--- a/test/support/dispatch_world.hpp
+++ b/test/support/dispatch_world.hpp
@@ -30,6 +30,7 @@
     time_point last_up{};
     time_point started{};
     bool takes_openings = true;
+    bool crashed = false; ///< Says nothing; its instance returns packets.
     std::set<std::uint16_t> flows;   ///< Open or half open, by caller port.
     std::size_t openings = 0;        ///< That reached the server.
     std::size_t foreign_packets = 0; ///< Of flows that it does not hold.
