--- a/include/briarfield/relay/relay_agent.hpp
+++ b/include/briarfield/relay/relay_agent.hpp
@@ -20,9 +20,10 @@
 /// \brief Addresses and delays of a \ref relay_agent.
 struct relay_agent_options
 {
-    endpoint relay;       ///< Frames of our own processes; answers leave here.
-    endpoint from_server; ///< Packets of the server arrive here.
-    endpoint server;      ///< Where the server takes packets.
+    endpoint relay; ///< Frames of our own processes; answers leave here. Port
+                    ///< 0: any.
+    endpoint from_server;          ///< Packets of the server arrive here.
+    endpoint server;               ///< Where the server takes packets.
     std::uint16_t caller_port = 0; ///< Where callers take packets.
     std::vector<endpoint> seeds;   ///< Relay addresses of some balancers.
     std::string service;           ///< That the server runs, by the settings.
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -22,7 +22,7 @@
 struct relay_balancer_options
 {
     endpoint callers; ///< Packets of callers arrive here, resets leave here.
-    endpoint relay;   ///< Frames of our own processes.
+    endpoint relay;   ///< Frames of our own processes. Port 0: any.
     std::uint16_t caller_port = 0; ///< Where callers take packets.
     std::vector<endpoint> seeds;   ///< Relay addresses of some balancers.
     std::uint64_t incarnation = 0; ///< Differs with each start.
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -64,6 +64,7 @@
                    [this](const udp_socket::datagram* batch, std::size_t count)
                    { on_relay_batch(batch, count); }));
     relay_ = std::move(relay);
+    options_.relay = relay_->local();
     beat();
     check();
     return ok();
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -91,6 +91,7 @@
                    [this](const udp_socket::datagram* batch, std::size_t count)
                    { on_relay_batch(batch, count); }));
     relay_ = std::move(relay);
+    options_.relay = relay_->local();
     BOOST_OUTCOME_TRY(callers, udp_socket::create_batched(
                                    *loop_, options_.callers,
                                    [this](const udp_socket::datagram* batch,
