--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -2,6 +2,7 @@
 #define BRIARFIELD_DISPATCH_SERVER_GATE_HPP
 
 #include "briarfield/core/counter_set.hpp"
+#include "briarfield/core/histogram.hpp"
 #include "briarfield/dispatch/load_gauge.hpp"
 #include "briarfield/dispatch/server_registration.hpp"
 #include "briarfield/flow/flow_table.hpp"
@@ -117,6 +118,9 @@
 
     const counter_set<gate_event>& counters() const { return counters_; }
 
+    /// \brief Times from the first byte of a request to that of its answer.
+    const histogram& request_times() const { return request_times_; }
+
     /// \brief Called for each decision on an opening.
     std::function<void(const flow_packet&, const gate_verdict&)> on_decision;
 
@@ -153,6 +157,7 @@
     time_point opening_returned_{}; ///< Last one, since one was accepted.
     load_gauge load_;
     counter_set<gate_event> counters_;
+    histogram request_times_ = histogram::of_durations();
     std::unordered_map<flow_key, flow, flow_key_hash> flows_;
     std::uint32_t open_ = 0;
     std::deque<time_point> offered_;  ///< Openings of late.
--- a/src/app/metrics_service.cpp
+++ b/src/app/metrics_service.cpp
@@ -1,11 +1,8 @@
 #include "metrics_service.hpp"
 
-#include "logging.hpp"
+#include "process_metrics.hpp"
 
 #include <chrono>
-#include <fstream>
-#include <sys/resource.h>
-#include <unistd.h>
 
 namespace briarfield::app
 {
@@ -17,36 +14,6 @@
 
 constexpr duration lag_interval = 250ms;
 
-double seconds_of(const timeval& t)
-{
-    constexpr double microsecond = 1e-6;
-    return static_cast<double>(t.tv_sec) +
-           static_cast<double>(t.tv_usec) * microsecond;
-}
-
-double cpu_seconds()
-{
-    rusage usage{};
-    getrusage(RUSAGE_SELF, &usage);
-    return seconds_of(usage.ru_utime) + seconds_of(usage.ru_stime);
-}
-
-double resident_bytes()
-{
-    std::ifstream in("/proc/self/statm");
-    std::uint64_t total = 0;
-    std::uint64_t resident = 0;
-    in >> total >> resident;
-    return static_cast<double>(resident) *
-           static_cast<double>(sysconf(_SC_PAGESIZE));
-}
-
-double unix_seconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration<double>(now).count();
-}
-
 } // namespace
 
 std::vector<std::string_view> metrics_service::depends_on() const
@@ -66,7 +33,6 @@
 
 result<void> metrics_service::add_process_metrics(const kernel& k)
 {
-    const double started = unix_seconds();
     const auto counter = [this](const char* name, const char* help,
                                 metric_registry::reader read) {
         return registry_.add_counter({name, help}, std::move(read));
@@ -75,9 +41,7 @@
         [this](const metric_info& info, metric_registry::reader read)
     { return registry_.add_gauge(info, std::move(read)); };
 
-    BOOST_OUTCOME_TRYV(counter("process_cpu_seconds_total",
-                               "Processor time used, in seconds.",
-                               cpu_seconds));
+    BOOST_OUTCOME_TRYV(app::add_process_metrics(registry_));
     BOOST_OUTCOME_TRYV(
         counter("briarfield_reloads_total", "Reloads of the settings in force.",
                 [this] { return static_cast<double>(runtime_->reloads()); }));
@@ -85,16 +49,6 @@
         "briarfield_reloads_refused_total",
         "Reloads of the settings that an error stopped.",
         [this] { return static_cast<double>(runtime_->reloads_refused()); }));
-    BOOST_OUTCOME_TRYV(
-        counter("briarfield_log_lines_suppressed_total",
-                "Log lines above the budget, not written.",
-                [] { return static_cast<double>(suppressed_log_lines()); }));
-    BOOST_OUTCOME_TRYV(
-        gauge({"process_resident_memory_bytes", "Memory in use, in bytes."},
-              resident_bytes));
-    BOOST_OUTCOME_TRYV(gauge({"process_start_time_seconds",
-                              "Time of the start, in seconds since 1970."},
-                             [started] { return started; }));
     BOOST_OUTCOME_TRYV(gauge({"briarfield_build_info",
                               "1; the version is a label.",
                               {{"version", BRIARFIELD_VERSION}}},
--- /dev/null
+++ b/src/app/relay_process.hpp
@@ -0,0 +1,80 @@
+#ifndef BRIARFIELD_SRC_APP_RELAY_PROCESS_HPP
+#define BRIARFIELD_SRC_APP_RELAY_PROCESS_HPP
+
+#include "metric_registry.hpp"
+#include "settings.hpp"
+
+#include "briarfield/core/random.hpp"
+#include "briarfield/net/event_loop.hpp"
+#include "briarfield/net/http_server.hpp"
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace briarfield::app
+{
+
+/// Life of a daemon of the relay: loop, signals, readiness, metrics, and the
+/// settings file, whose change is noticed without a signal, too.
+///
+/// The daemon itself is a class derived from this one.
+class relay_process
+{
+public:
+    /// \param ready_path Path that answers 200 while requests can be served.
+    relay_process(settings s, std::string ready_path);
+    virtual ~relay_process() = default;
+    relay_process(const relay_process&) = delete;
+    relay_process& operator=(const relay_process&) = delete;
+
+    /// Runs until a signal ends it; returns the exit code.
+    int run();
+
+protected:
+    /// Opens what the daemon needs besides; an error ends the process.
+    virtual result<void> open_daemon() = 0;
+
+    /// Empty while requests can be served, else why they cannot.
+    virtual std::string not_ready_reason() const = 0;
+
+    /// SIGTERM has come; the daemon ends by \ref finish_after.
+    virtual void on_terminate() = 0;
+
+    /// Other settings are in force.
+    virtual void on_settings(const settings&) {}
+
+    void finish_after(duration delay);
+
+    event_loop& loop() { return *loop_; }
+    random_source& random() { return random_; }
+    const settings& config() const { return settings_; }
+    metric_registry& metrics() { return metrics_; }
+
+private:
+    result<void> open();
+    void on_signal(int number);
+    void on_http(const http_server_request& r, const http_responder& out);
+    void answer_ready(const http_responder& out);
+    void watch_settings();
+    void reload();
+    void flush_lines();
+
+    steady_clock clock_;
+    settings settings_;
+    std::string ready_path_;
+    random_source random_;
+    std::unique_ptr<event_loop> loop_;
+    std::unique_ptr<http_server> http_;
+    metric_registry metrics_;
+    std::string reported_reason_ = "starting";
+    std::pair<time_t, long> settings_seen_{}; ///< Time of the file's change.
+    bool stopping_ = false;
+};
+
+/// Farewells to other processes leave within this time.
+constexpr duration farewell_time = std::chrono::milliseconds(50);
+
+} // namespace briarfield::app
+
+#endif
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -124,6 +124,8 @@
         if (on_decision)
             on_decision(p, v);
     }
+    if (p.payload_size > 0 && f.in_progress)
+        request_times_.record(f.last - f.asked);
     if (p.payload_size > 0)
         end_request(f);
     if (!f.told)
