Reused ports, reused positions, bounded lists, seeds on reload

Found on reading the diff: - An opening from a port whose former flow had been searched for in vain was refused: every server counted as tried. Seeds are taken over on reload.

--- a/include/briarfield/dispatch/agent_directory.hpp
+++ b/include/briarfield/dispatch/agent_directory.hpp
@@ -46,7 +46,8 @@
     bool restarting = false;     ///< The agent stops; its server may live on.
 };
 
-/// \brief Position of an agent in an \ref agent_directory; never reused.
+/// \brief Position of an agent in an \ref agent_directory; reused when the
+/// agent has been silent for agent_directory::options::forget_after.
 using agent_index = std::uint16_t;
 
 /// \brief No agent.
@@ -70,6 +71,8 @@
         duration known_for = std::chrono::seconds(4);
         /// The same for one that said that it restarts.
         duration restart_for = std::chrono::seconds(15);
+        /// Nothing remembers an agent for so long: flows last a minute.
+        duration forget_after = std::chrono::minutes(10);
     };
 
     /// \brief An agent and what came with its last heartbeat.
@@ -90,7 +93,8 @@
     {
     }
 
-    /// \brief Takes a heartbeat; false if it is older than what is known.
+    /// \brief Takes a heartbeat; false if it is older than what is known, or
+    /// there is no room for another agent.
     bool take(const agent_status& status);
 
     /// \brief Position of the agent that takes packets at \a data.
@@ -145,6 +149,8 @@
     std::function<void(const record&, duration silence)> on_silent;
 
 private:
+    agent_index make_room();
+
     const clock* clock_;
     options options_;
     std::vector<record> records_;
--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -70,6 +70,9 @@
     /// \brief Flows that an agent notes.
     static constexpr std::size_t flow_capacity = 16384;
 
+    /// \brief Balancers that an agent remembers; more than there are.
+    static constexpr std::size_t balancer_capacity = 4096;
+
     /// \brief Flows without a packet for so long are forgotten.
     static constexpr duration flow_idle = std::chrono::seconds(20);
 
@@ -162,6 +165,7 @@
     std::uint32_t open_ = 0;
     std::deque<time_point> offered_;  ///< Openings of late.
     std::vector<endpoint> balancers_; ///< All that have sent packets.
+    std::size_t oldest_balancer_ = 0; ///< Last one replaced, when full.
 };
 
 } // namespace briarfield
--- a/include/briarfield/relay/relay_agent.hpp
+++ b/include/briarfield/relay/relay_agent.hpp
@@ -60,6 +60,9 @@
     const udp_socket& relay_socket() const { return *relay_; }
     const udp_socket& server_socket() const { return *from_server_; }
 
+    /// \brief Writes to these balancers, too, from now on.
+    void add_seeds(const std::vector<endpoint>& seeds);
+
 private:
     relay_agent(event_loop& loop,
                 const relay_agent_options& options,
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -72,6 +72,9 @@
     /// \brief Called when another balancer has newer routes in force.
     std::function<void(std::uint64_t version)> on_newer_routes;
 
+    /// \brief Writes to these balancers, too, from now on.
+    void add_seeds(const std::vector<endpoint>& seeds);
+
 private:
     relay_balancer(event_loop& loop,
                    const relay_balancer_options& options,
--- a/src/app/settings_table.cpp
+++ b/src/app/settings_table.cpp
@@ -155,6 +155,7 @@
         .reload()
         .doc("Service that the backend server runs, until it says so itself."),
     row("relay", "seeds", &settings::relay_seeds)
+        .reload()
         .doc("Relay addresses of some balancers; the rest are learnt."),
     row("relay", "seed_port", &settings::relay_seed_port)
         .by_default("0")
--- a/src/dispatch/agent_directory.cpp
+++ b/src/dispatch/agent_directory.cpp
@@ -35,8 +35,9 @@
     const bool first = i == no_agent;
     if (first)
     {
-        i = static_cast<agent_index>(records_.size());
-        records_.emplace_back();
+        i = make_room();
+        if (i == no_agent)
+            return false;
         by_data_.emplace(status.data, i);
         named_.erase(status.data);
         records_[i].first_heard = clock_->now();
@@ -60,6 +61,24 @@
     return true;
 }
 
+/// A new record, or that of an agent that nobody remembers.
+agent_index agent_directory::make_room()
+{
+    const time_point now = clock_->now();
+    for (std::size_t i = 0; i < records_.size(); ++i)
+    {
+        if (now - records_[i].heard < options_.forget_after)
+            continue;
+        by_data_.erase(records_[i].status.data);
+        records_[i] = record();
+        return static_cast<agent_index>(i);
+    }
+    if (records_.size() == no_agent)
+        return no_agent;
+    records_.emplace_back();
+    return static_cast<agent_index>(records_.size() - 1);
+}
+
 agent_index agent_directory::find(const endpoint& data) const
 {
     const auto found = by_data_.find(data);
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -115,6 +115,11 @@
     flow_location* known = flows_.find(p.key);
     if (known == nullptr)
         return place(p, flows_.insert(p.key, now));
+    const bool searched_for = known->state == location_state::searching ||
+                              known->state == location_state::lost;
+    // A caller that opens has given up whatever flow it had there.
+    if (searched_for)
+        *known = flow_location();
     known->last = now;
     if (known->agent == no_agent)
         return place(p, *known);
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -167,8 +167,15 @@
         std::find(balancers_.begin(), balancers_.end(), balancer);
     if (found != balancers_.end())
         return static_cast<std::uint16_t>(found - balancers_.begin());
-    balancers_.push_back(balancer);
-    return static_cast<std::uint16_t>(balancers_.size() - 1);
+    if (balancers_.size() < balancer_capacity)
+    {
+        balancers_.push_back(balancer);
+        return static_cast<std::uint16_t>(balancers_.size() - 1);
+    }
+    // The oldest gives way; what it sent may come back to the wrong one.
+    oldest_balancer_ = (oldest_balancer_ + 1) % balancer_capacity;
+    balancers_[oldest_balancer_] = balancer;
+    return static_cast<std::uint16_t>(oldest_balancer_);
 }
 
 void server_gate::note_packet(const flow_packet& p,
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -39,11 +39,16 @@
       gate_(loop.timers().time_source(), server_),
       balancers_(loop.timers().time_source()), incarnation_(random.next())
 {
-    for (const endpoint& seed : options_.seeds)
-        balancers_.add_seed(seed);
+    add_seeds(options_.seeds);
     set_log_hooks();
 }
 
+void relay_agent::add_seeds(const std::vector<endpoint>& seeds)
+{
+    for (const endpoint& seed : seeds)
+        balancers_.add_seed(seed);
+}
+
 relay_agent::~relay_agent()
 {
     loop_->timers().cancel(beat_timer_);
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -70,10 +70,15 @@
                   std::move(policy)),
       peers_(loop.timers().time_source()), incarnation_(options.incarnation)
 {
-    for (const endpoint& seed : options_.seeds)
+    add_seeds(options_.seeds);
+    set_log_hooks();
+}
+
+void relay_balancer::add_seeds(const std::vector<endpoint>& seeds)
+{
+    for (const endpoint& seed : seeds)
         if (seed != options_.relay)
             peers_.add_seed(seed);
-    set_log_hooks();
 }
 
 relay_balancer::~relay_balancer()
--- a/test/dispatch/flow_dispatcher_test.cpp
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(opening_goes_to_the_route_s_service);
     CPPUNIT_TEST(returned_opening_goes_on);
     CPPUNIT_TEST(opening_that_nobody_takes_is_reset);
+    CPPUNIT_TEST(port_of_a_lost_flow_may_open_another);
     CPPUNIT_TEST(opening_is_not_refused_before_agents_are_known);
     CPPUNIT_TEST(mute_server_costs_one_copy);
     CPPUNIT_TEST(another_balancer_finds_the_flow);
@@ -102,6 +103,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(1).resets_allowed);
     }
 
+    /// What was tried for the old flow must not count for the new one.
+    void port_of_a_lost_flow_may_open_another()
+    {
+        start(3, 1);
+        w_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(1).resets_allowed);
+        w_.open(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), w_.caller(1).accepted);
+    }
+
     void opening_is_not_refused_before_agents_are_known()
     {
         start(3, 1);
