A server that has just returned an opening is reported as silent

Cause: relay_agent::make_status never asked server_gate::server_refuses; the model of the tests composed heartbeats by code of its own and did, so crashed_server_is_not_tried_again_and_again proved nothing of the program.

Now server_gate::status() composes what balancers hear, for the program and the model alike. relay_test server_that_returns_openings_is_reported_silent and the case above both fail when the check is taken out of it.

--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -3,6 +3,7 @@
 
 #include "briarfield/core/counter_set.hpp"
 #include "briarfield/core/histogram.hpp"
+#include "briarfield/dispatch/agent_directory.hpp"
 #include "briarfield/dispatch/load_gauge.hpp"
 #include "briarfield/dispatch/server_registration.hpp"
 #include "briarfield/flow/flow_table.hpp"
@@ -116,8 +117,11 @@
     /// since: it has no room, or is gone without a word.
     bool server_refuses() const;
 
-    /// \brief Requests that the server works on, on average of late.
-    double mean_in_progress() { return load_.mean(); }
+    /// \brief What balancers are to hear of the server: its service, state and
+    /// load. The caller adds the agent's address, zone and sequence.
+    ///
+    /// A server that has just returned an opening counts as silent.
+    agent_status status();
 
     const counter_set<gate_event>& counters() const { return counters_; }
 
@@ -148,6 +152,7 @@
     void close(flow& f);
     void forget(const flow_key& key);
     bool busy() const;
+    server_state reported_state() const;
     void note_offered();
     gate_verdict refuse(const flow_packet& p,
                         const endpoint& from,
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -74,6 +74,33 @@
            clock_->now() - opening_returned_ < refusal_memory;
 }
 
+/// A server that has no room, or has ended without a word, gets no new flows;
+/// nor does one that nothing was heard of.
+server_state server_gate::reported_state() const
+{
+    const bool takes_nothing = server_->silent() || server_refuses();
+    const bool may_live = server_->state() != server_state::gone;
+    return takes_nothing && may_live ? server_state::silent : server_->state();
+}
+
+agent_status server_gate::status()
+{
+    const server_heartbeat& latest = server_->latest();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        server_->heartbeat_age());
+    agent_status s;
+    s.service = latest.service;
+    s.state = reported_state();
+    s.slots = latest.slots;
+    s.flows = open_;
+    s.busy = static_cast<float>(load_.mean());
+    s.warmup_ms = latest.warmup_ms > age.count()
+                      ? static_cast<std::uint32_t>(latest.warmup_ms -
+                                                   age.count())
+                      : 0;
+    return s;
+}
+
 void server_gate::note_offered()
 {
     const time_point now = clock_->now();
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -191,23 +191,11 @@
 
 agent_status relay_agent::make_status()
 {
-    const server_heartbeat& latest = server_.latest();
-    agent_status s;
+    agent_status s = gate_.status();
     s.data = options_.relay;
     s.incarnation = incarnation_;
     s.sequence = ++sequence_;
-    s.service = latest.service;
     s.zone = options_.zone;
-    const bool may_live = server_.state() != server_state::gone;
-    s.state =
-        server_.silent() && may_live ? server_state::silent : server_.state();
-    s.slots = latest.slots;
-    s.flows = gate_.open_flows();
-    s.busy = static_cast<float>(gate_.mean_in_progress());
-    const long long passed = whole_ms(server_.heartbeat_age());
-    s.warmup_ms = latest.warmup_ms > passed
-                      ? static_cast<std::uint32_t>(latest.warmup_ms - passed)
-                      : 0;
     return s;
 }
 
--- a/test/relay/relay_path_test.cpp
+++ b/test/relay/relay_path_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(caller_reaches_the_server_and_back);
     CPPUNIT_TEST(packet_that_comes_back_ends_in_a_reset);
     CPPUNIT_TEST(drained_server_is_not_offered_a_flow);
+    CPPUNIT_TEST(server_that_returns_openings_is_reported_silent);
     CPPUNIT_TEST(damaged_datagrams_do_no_harm);
     CPPUNIT_TEST_SUITE_END();
 
@@ -214,6 +215,22 @@
         CPPUNIT_ASSERT(at_server_.empty());
     }
 
+    server_state reported_state() const
+    {
+        return balancer_->agents().at(0).status.state;
+    }
+
+    void server_that_returns_openings_is_reported_silent()
+    {
+        returns_all_ = true;
+        call(packet_flags::syn, "");
+        run_until([this] { return !at_server_.empty(); });
+        run_until([this] { return reported_state() == server_state::silent; });
+        // It is tried again after a while.
+        pass(server_gate::refusal_memory);
+        run_until([this] { return reported_state() == server_state::unknown; });
+    }
+
     void damaged_datagrams_do_no_harm()
     {
         for (const auto& junk :
--- a/test/support/dispatch_world.cpp
+++ b/test/support/dispatch_world.cpp
@@ -118,17 +118,10 @@
         if (!s->crashed)
             s->registration->note_alive();
         s->last_up = clock_.now();
-        agent_status status;
+        agent_status status = s->gate->status();
         status.data = s->relay;
         status.incarnation = s->incarnation;
         status.sequence = ++s->sequence;
-        status.service = s->registration->service();
-        status.state = s->registration->silent() || s->gate->server_refuses()
-                           ? server_state::silent
-                           : s->registration->state();
-        status.slots = 2;
-        status.flows = s->gate->open_flows();
-        status.busy = static_cast<float>(s->gate->mean_in_progress());
         take(status);
     }
     name_agents();
