Agents keep checkpoints of open flows in the store; a restarted server is asked

Cause: after a loss of power of all instances callers learn that a flow is dead only when they send on it.

An agent keeps, of each flow on which its server has spoken, the caller's last packet without payload. Handed to the server again it does nothing if the server has the flow and comes back if not; then the agent resets the flow. The packets are saved in the store every 4 s, so that the next agent of the instance can ask; a server that returns a packet of such a flow, or starts anew, is asked at once.

Ruled out: resets by comparing the server's lives (a flow of the new life may be older than its first heartbeat); lists of flows at balancers (lost with them).

--- a/include/briarfield/control/dispatch_messages.hpp
+++ b/include/briarfield/control/dispatch_messages.hpp
@@ -27,6 +27,7 @@
     std::vector<endpoint> agents;    ///< The same.
     bool leaving = false;            ///< The sender is stopping.
     std::uint64_t incarnation = 0;   ///< Differs with each start.
+    std::uint32_t agent_count = 0;   ///< Agents heard of lately.
 };
 
 /// \brief What a control datagram between balancers and agents carries.
--- a/include/briarfield/dispatch/agent_directory.hpp
+++ b/include/briarfield/dispatch/agent_directory.hpp
@@ -105,6 +105,9 @@
     /// \brief Whether the agent was heard of lately.
     bool fresh(agent_index i) const;
 
+    /// \brief Agents that were heard of lately.
+    std::size_t count_fresh() const;
+
     /// \brief Whether the server has announced itself, and the agent has been
     /// heard of for so long that every other balancer knows it, too.
     bool established(agent_index i) const;
--- a/include/briarfield/dispatch/flow_packet.hpp
+++ b/include/briarfield/dispatch/flow_packet.hpp
@@ -3,6 +3,7 @@
 
 #include "briarfield/packet/ip_packet.hpp"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <string_view>
@@ -36,6 +37,7 @@
     unsigned copy = 0;     ///< Openings: earlier copies the caller has sent.
     std::uint16_t payload_size = 0;   ///< Bytes.
     std::uint32_t acknowledgment = 0; ///< What the sender expects next.
+    const_byte_span bytes; ///< The whole packet; valid while it is handled.
 };
 
 /// \brief Identity of a service within a datagram: a hash of its name.
@@ -75,6 +77,26 @@
     service_tag service = 0; ///< Of the route; checked for openings.
 };
 
+/// \brief The bytes of a packet without payload, kept.
+class short_packet
+{
+public:
+    /// \brief Bytes that fit; headers of every codec do.
+    static constexpr std::size_t capacity = 40;
+
+    short_packet() = default;
+
+    /// \brief Copies \a bytes; stays empty if they do not fit.
+    explicit short_packet(const_byte_span bytes);
+
+    bool empty() const { return size_ == 0; }
+    const_byte_span span() const { return {bytes_.data(), size_}; }
+
+private:
+    std::uint8_t size_ = 0;
+    std::array<std::uint8_t, capacity> bytes_{};
+};
+
 /// \brief Reads and marks packets of one kind of header.
 ///
 /// Decisions know no header: each way into the system brings a codec. The
--- a/include/briarfield/relay/relay_agent.hpp
+++ b/include/briarfield/relay/relay_agent.hpp
@@ -56,6 +56,17 @@
     /// \brief Asks balancers to place no new flows here while it stops.
     void leave();
 
+    /// \brief Asks the server about flows that it, or the one before it on
+    /// this instance, had before the agent started.
+    ///
+    /// \a questions are \ref server_gate::questions of an earlier agent; one
+    /// that the server returns ends its flow. Asked again when the server has
+    /// been heard of.
+    void restore(const std::vector<short_packet>& questions);
+
+    /// \brief Agents of all instances, as balancers say.
+    std::size_t agent_count() const { return agent_count_; }
+
     const server_gate& gate() const { return gate_; }
     const udp_socket& relay_socket() const { return *relay_; }
     const udp_socket& server_socket() const { return *from_server_; }
@@ -77,6 +88,10 @@
     void on_server_datagram(byte_span datagram);
     void on_notice(const balancer_notice& notice);
     void give_back(byte_span packet, const gate_verdict& v);
+    void on_server_change();
+    void ask(const std::vector<short_packet>& questions);
+    void ask_next();
+    void put_question(const short_packet& question);
     agent_status make_status();
     void send_heartbeats();
     void beat();
@@ -94,9 +109,14 @@
     std::uint64_t incarnation_;
     std::uint64_t sequence_ = 0;
     std::uint64_t malformed_ = 0;
+    std::size_t agent_count_ = 1;
+    std::vector<short_packet> to_ask_;  ///< In turns, the last one first.
+    std::vector<short_packet> restored_; ///< Until the server is heard of.
+    std::uint64_t asked_born_ms_ = 0;    ///< Life of the server asked last.
     bool reported_silent_ = false;
     timer_id beat_timer_ = 0;
     timer_id check_timer_ = 0;
+    timer_id ask_timer_ = 0;
 };
 
 } // namespace briarfield
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -70,6 +70,8 @@
     std::vector<endpoint> relay_seeds;
     std::uint32_t relay_seed_port = 0;
     duration relay_silence_limit{};
+    duration relay_checkpoint_interval{};
+    double relay_store_writes = 0; ///< Calls a second of all instances.
 
     endpoint trace_collector;
     double trace_ratio = 0;
--- a/src/app/settings_table.cpp
+++ b/src/app/settings_table.cpp
@@ -167,6 +167,16 @@
         .range("100ms", "1min")
         .doc("A server that was silent for so long gets no new flows; its "
              "address may then belong to another service."),
+    row("relay", "checkpoint_interval", &settings::relay_checkpoint_interval)
+        .by_default("4s")
+        .range("500ms", "10min")
+        .doc("Time between two checkpoints of an agent's open flows, if a "
+             "store is set; longer when many agents share it."),
+    row("relay", "store_writes", &settings::relay_store_writes)
+        .by_default("400")
+        .range("1", "1000000")
+        .doc("Writing calls a second that the store grants all instances; "
+             "checkpoints take a twentieth at most."),
 
     row("trace", "collector", &settings::trace_collector)
         .doc("Where spans go by OTLP/HTTP JSON; without it none are kept."),
--- a/src/control/dispatch.capnp
+++ b/src/control/dispatch.capnp
@@ -45,6 +45,7 @@
   agents @3 :List(Control.Address);    # the same; to balancers only
   leaving @4 :Bool;
   incarnation @5 :UInt64;              # differs with each start
+  agentCount @6 :UInt32;               # agents heard of lately
 }
 
 struct DispatchDatagram {
--- a/src/control/dispatch.capnp.h
+++ b/src/control/dispatch.capnp.h
@@ -389,6 +389,8 @@
 
   inline  ::uint64_t getIncarnation() const;
 
+  inline  ::uint32_t getAgentCount() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -447,6 +449,9 @@
   inline  ::uint64_t getIncarnation();
   inline void setIncarnation( ::uint64_t value);
 
+  inline  ::uint32_t getAgentCount();
+  inline void setAgentCount( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1084,6 +1089,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t BalancerNotice::Reader::getAgentCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BalancerNotice::Builder::getAgentCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void BalancerNotice::Builder::setAgentCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::briarfield::wire::DispatchDatagram::Which DispatchDatagram::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/control/dispatch_messages.cpp
+++ b/src/control/dispatch_messages.cpp
@@ -66,6 +66,7 @@
     write_all(w.initAgents(static_cast<unsigned>(n.agents.size())), n.agents);
     w.setLeaving(n.leaving);
     w.setIncarnation(n.incarnation);
+    w.setAgentCount(n.agent_count);
 }
 
 result<dispatch_message> read(wire::AgentStatus::Reader r)
@@ -112,6 +113,7 @@
     n.agents = std::move(agents_value);
     n.leaving = r.getLeaving();
     n.incarnation = r.getIncarnation();
+    n.agent_count = r.getAgentCount();
     return dispatch_message(std::move(n));
 }
 
--- a/src/dispatch/agent_directory.cpp
+++ b/src/dispatch/agent_directory.cpp
@@ -90,6 +90,14 @@
     return clock_->now() - records_[i].heard <= options_.fresh_for;
 }
 
+std::size_t agent_directory::count_fresh() const
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < records_.size(); ++i)
+        count += fresh(static_cast<agent_index>(i)) ? 1 : 0;
+    return count;
+}
+
 bool agent_directory::established(agent_index i) const
 {
     const record& r = records_[i];
--- a/src/dispatch/flow_packet.cpp
+++ b/src/dispatch/flow_packet.cpp
@@ -1,5 +1,6 @@
 #include "briarfield/dispatch/flow_packet.hpp"
 
+#include <algorithm>
 #include <iterator>
 #include <xxhash.h>
 
@@ -31,6 +32,14 @@
     return reason_names[static_cast<std::size_t>(reason)];
 }
 
+short_packet::short_packet(const_byte_span bytes)
+{
+    if (bytes.size() > capacity)
+        return;
+    std::copy(bytes.begin(), bytes.end(), bytes_.begin());
+    size_ = static_cast<std::uint8_t>(bytes.size());
+}
+
 service_tag make_service_tag(std::string_view name) noexcept
 {
     return static_cast<service_tag>(XXH3_64bits(name.data(), name.size()));
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -13,7 +13,7 @@
     "delivered",          "offered",        "answered",
     "accepted",           "given_back",     "refused_service",
     "refused_draining",   "refused_silent", "refused_busy",
-    "dropped_unknown_tag"};
+    "dropped_unknown_tag", "asked",          "reset_ended"};
 static_assert(std::size(event_names) ==
               static_cast<std::size_t>(gate_event::count_));
 
@@ -130,6 +130,8 @@
 {
     // What comes back says nothing about the server: its instance returns
     // packets, too, when the server has crashed.
+    if (p.returned && tag == question_tag)
+        return end_flow(p);
     if (p.returned)
         return give_back(p, tag);
     server_->note_alive();
@@ -151,6 +153,7 @@
         if (on_decision)
             on_decision(p, v);
     }
+    f.spoken = f.spoken || !p.accepts;
     if (p.payload_size > 0 && f.in_progress)
         request_times_.record(f.last - f.asked);
     if (p.payload_size > 0)
@@ -176,9 +179,11 @@
         counters_.add(v.event);
         return v;
     }
-    forget(p.key);
     if (p.kind == packet_kind::opening)
         opening_returned_ = clock_->now();
+    else
+        doubt(p.key);
+    forget(p.key);
     v.what = gate_verdict::action::give_back;
     v.event = gate_event::given_back;
     v.balancer = balancers_[position];
@@ -188,6 +193,45 @@
     return v;
 }
 
+/// A server returns no packet of a flow that it has, so it has lost this one,
+/// and probably all.
+void server_gate::doubt(const flow_key& key)
+{
+    const auto found = flows_.find(key);
+    const bool had = found != flows_.end() && found->second.spoken;
+    const time_point now = clock_->now();
+    const bool recently =
+        doubted_ != time_point{} && now - doubted_ < question_pause;
+    if (!had || recently)
+        return;
+    doubted_ = now;
+    if (on_doubt)
+        on_doubt();
+}
+
+/// The caller learns that its flow is over before it sends again.
+gate_verdict server_gate::end_flow(const flow_packet& p)
+{
+    forget(p.key);
+    gate_verdict v;
+    v.what = gate_verdict::action::reset;
+    v.event = gate_event::reset_ended;
+    v.sequence = p.acknowledgment;
+    counters_.add(v.event);
+    if (on_decision)
+        on_decision(p, v);
+    return v;
+}
+
+std::vector<short_packet> server_gate::questions() const
+{
+    std::vector<short_packet> all;
+    for (const auto& [key, f] : flows_)
+        if (f.spoken && !f.over && !f.question.empty())
+            all.push_back(f.question);
+    return all;
+}
+
 std::uint16_t server_gate::position_of(const endpoint& balancer)
 {
     const auto found =
@@ -219,12 +263,20 @@
     if (f.balancer != balancer || mode != forward_mode::known)
         f.told = false;
     f.balancer = balancer;
+    if (p.kind == packet_kind::opening)
+    {
+        // The caller has given up whatever flow it had here.
+        f.spoken = false;
+        f.question = short_packet();
+    }
     if (p.kind != packet_kind::opening && !f.open && !f.over)
     {
         // Known from before our start, or the answer was seen by nobody.
         f.open = true;
         ++open_;
     }
+    if (p.kind == packet_kind::segment && p.payload_size == 0)
+        f.question = short_packet(p.bytes);
     if (p.payload_size > 0 && !f.in_progress && !f.over)
     {
         if (f.asked == time_point{} && !offered_.empty())
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -2,6 +2,7 @@
 
 #include "message_frame.hpp"
 
+#include <algorithm>
 #include <spdlog/spdlog.h>
 
 namespace briarfield
@@ -14,6 +15,11 @@
 
 constexpr duration check_interval = 500ms;
 
+/// Questions that the server is handed at once, and the pause after them:
+/// 64 a pause stay under a tenth of a small instance's processor.
+constexpr std::size_t questions_at_once = 64;
+constexpr duration question_pause = 20ms;
+
 } // namespace
 
 result<std::unique_ptr<relay_agent>>
@@ -53,6 +59,7 @@
 {
     loop_->timers().cancel(beat_timer_);
     loop_->timers().cancel(check_timer_);
+    loop_->timers().cancel(ask_timer_);
 }
 
 result<void> relay_agent::open()
@@ -84,7 +91,13 @@
                      "born_ms={} sequence={} slots={}",
                      s.id, s.service, server_state_name(server_.state()),
                      s.born_ms, s.sequence, s.slots);
-        send_heartbeats();
+        on_server_change();
+    };
+    gate_.on_doubt = [this]
+    {
+        spdlog::warn("event=server_lost_flow server={} heard_ms={}",
+                     server_.latest().id, whole_ms(server_.age()));
+        ask(gate_.questions());
     };
     gate_.on_decision = [this](const flow_packet& p, const gate_verdict& v)
     {
@@ -157,6 +170,13 @@
         gate_.on_server_packet(p.value(), codec_.tag(datagram));
     if (v.what == gate_verdict::action::give_back)
         return give_back(datagram, v);
+    if (v.what == gate_verdict::action::reset)
+    {
+        const auto bytes = codec_.build_reset(p.value().key, v.sequence);
+        relay_->queue_copy({p.value().key.source, options_.caller_port},
+                           {bytes.data(), bytes.size()});
+        return;
+    }
     if (v.what != gate_verdict::action::answer)
         return;
     relay_->queue({p.value().key.source, options_.caller_port}, datagram);
@@ -171,6 +191,72 @@
     relay_->queue(v.balancer, write_give_back_frame(packet, v.reason));
 }
 
+/// A server that starts anew has none of the flows of the one before.
+void relay_agent::on_server_change()
+{
+    send_heartbeats();
+    const std::uint64_t born_ms = server_.latest().born_ms;
+    if (born_ms == asked_born_ms_)
+        return;
+    asked_born_ms_ = born_ms;
+    ask(restored_);
+    restored_.clear();
+    ask(gate_.questions());
+}
+
+void relay_agent::restore(const std::vector<short_packet>& questions)
+{
+    if (server_.state() == server_state::unknown)
+        restored_ = questions;
+    ask(questions);
+}
+
+void relay_agent::ask(const std::vector<short_packet>& questions)
+{
+    if (questions.empty())
+        return;
+    spdlog::info("event=asks_server questions={} server={} state={} "
+                 "heard_ms={}",
+                 questions.size(), server_.latest().id,
+                 server_state_name(server_.state()), whole_ms(server_.age()));
+    to_ask_.insert(to_ask_.end(), questions.begin(), questions.end());
+    if (ask_timer_ == 0)
+        ask_next();
+}
+
+void relay_agent::ask_next()
+{
+    ask_timer_ = 0;
+    for (std::size_t i = 0; i < questions_at_once && !to_ask_.empty(); ++i)
+    {
+        put_question(to_ask_.back());
+        to_ask_.pop_back();
+    }
+    from_server_->flush();
+    if (!to_ask_.empty())
+        ask_timer_ =
+            loop_->timers().schedule(question_pause, [this] { ask_next(); });
+}
+
+void relay_agent::put_question(const short_packet& question)
+{
+    // It may come from a store: only what callers write is handed on.
+    const auto p = codec_.decode_caller(question.span());
+    if (!p || p.value().kind != packet_kind::segment ||
+        p.value().payload_size > 0 || p.value().returned)
+    {
+        ++malformed_;
+        return;
+    }
+    std::vector<std::uint8_t> bytes(question.span().begin(),
+                                    question.span().end());
+    const byte_span packet(bytes.data(), bytes.size());
+    codec_.clear_marks(packet);
+    codec_.put_tag(packet, server_gate::question_tag);
+    from_server_->queue_copy(options_.server, packet);
+    gate_.note_asked();
+}
+
 void relay_agent::on_notice(const balancer_notice& notice)
 {
     if (notice.leaving)
@@ -183,6 +269,7 @@
     if (is_new)
         spdlog::info("event=balancer_heard balancer={}",
                      notice.relay.to_string());
+    agent_count_ = std::max<std::size_t>(1, notice.agent_count);
     for (const endpoint& other : notice.balancers)
         is_new = balancers_.introduced(other) || is_new;
     if (is_new)
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -173,10 +173,7 @@
 {
     if (routes_.version() == 0)
         return "no routes yet";
-    for (std::size_t i = 0; i < agents_.size(); ++i)
-        if (agents_.fresh(static_cast<agent_index>(i)))
-            return {};
-    return "no agent heard of";
+    return agents_.count_fresh() > 0 ? "" : "no agent heard of";
 }
 
 void relay_balancer::on_caller_batch(const udp_socket::datagram* batch,
@@ -346,6 +343,7 @@
     notice.incarnation = incarnation_;
     notice.config_version = routes_.version();
     notice.balancers = next_of(peers_.alive(), listed_balancers_);
+    notice.agent_count = static_cast<std::uint32_t>(agents_.count_fresh());
     if (!with_agents)
         return notice;
     std::vector<endpoint> known;
