--- /dev/null
+++ b/test/dispatch/server_gate_test.cpp
@@ -0,0 +1,162 @@
+#include "briarfield/dispatch/server_gate.hpp"
+
+#include "support/dispatch_world.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+
+using namespace briarfield;
+using namespace briarfield::test;
+using namespace std::chrono_literals;
+
+/// What an agent can ask its server about flows.
+class server_gate_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(server_gate_test);
+    CPPUNIT_TEST(flow_on_which_the_server_spoke_can_be_asked_about);
+    CPPUNIT_TEST(accepted_flow_alone_is_not_asked_about);
+    CPPUNIT_TEST(ended_flows_are_not_asked_about);
+    CPPUNIT_TEST(reused_port_starts_anew);
+    CPPUNIT_TEST(returned_question_resets_the_flow);
+    CPPUNIT_TEST(lost_flow_raises_doubt_once);
+    CPPUNIT_TEST(returned_packet_of_a_foreign_flow_raises_no_doubt);
+    CPPUNIT_TEST_SUITE_END();
+
+    manual_clock clock_;
+    server_registration server_{clock_, "datum", 1900ms};
+    server_gate gate_{clock_, server_};
+    const endpoint balancer_ = host_endpoint(1, 9000);
+    std::vector<std::uint8_t> bytes_ = std::vector<std::uint8_t>(36, 7);
+    int doubts_ = 0;
+
+public:
+    void setUp() override
+    {
+        clock_.advance(1h);
+        server_heartbeat beat;
+        beat.id = "i";
+        beat.born_ms = 1;
+        beat.sequence = 1;
+        beat.service = "datum";
+        CPPUNIT_ASSERT(server_.take(beat));
+        gate_.on_doubt = [this] { ++doubts_; };
+    }
+
+private:
+    flow_packet packet(packet_kind kind, std::uint16_t payload = 0)
+    {
+        flow_packet p;
+        p.key.source = host_endpoint(200, 0).address;
+        p.key.source_port = 4000;
+        p.key.destination = host_endpoint(250, 0).address;
+        p.key.destination_port = 80;
+        p.kind = kind;
+        p.payload_size = payload;
+        p.acknowledgment = 77;
+        p.bytes = {bytes_.data(), bytes_.size()};
+        return p;
+    }
+
+    std::uint32_t from_caller(const flow_packet& p)
+    {
+        const forward_mode mode = p.kind == packet_kind::opening
+                                      ? forward_mode::opening
+                                      : forward_mode::known;
+        return gate_
+            .on_balancer_packet(p, {mode, make_service_tag("datum")}, balancer_)
+            .tag;
+    }
+
+    void open_flow()
+    {
+        from_caller(packet(packet_kind::opening));
+        flow_packet answer = packet(packet_kind::segment);
+        answer.accepts = true;
+        gate_.on_server_packet(answer, 0);
+        from_caller(packet(packet_kind::segment));
+    }
+
+    void use_flow()
+    {
+        from_caller(packet(packet_kind::segment, 100));
+        gate_.on_server_packet(packet(packet_kind::segment, 500), 0);
+        from_caller(packet(packet_kind::segment));
+    }
+
+    gate_verdict give_back(flow_packet p, std::uint32_t tag)
+    {
+        p.returned = true;
+        return gate_.on_server_packet(p, tag);
+    }
+
+    void flow_on_which_the_server_spoke_can_be_asked_about()
+    {
+        open_flow();
+        use_flow();
+        const std::vector<short_packet> all = gate_.questions();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, all.size());
+        const const_byte_span question = all[0].span();
+        CPPUNIT_ASSERT(std::equal(question.begin(), question.end(),
+                                  bytes_.begin(), bytes_.end()));
+    }
+
+    /// Another server may have answered a copy of the opening, too, and have
+    /// the flow.
+    void accepted_flow_alone_is_not_asked_about()
+    {
+        open_flow();
+        CPPUNIT_ASSERT(gate_.questions().empty());
+    }
+
+    void ended_flows_are_not_asked_about()
+    {
+        open_flow();
+        use_flow();
+        from_caller(packet(packet_kind::closing));
+        CPPUNIT_ASSERT(gate_.questions().empty());
+    }
+
+    void reused_port_starts_anew()
+    {
+        open_flow();
+        use_flow();
+        open_flow();
+        CPPUNIT_ASSERT(gate_.questions().empty());
+    }
+
+    void returned_question_resets_the_flow()
+    {
+        open_flow();
+        use_flow();
+        const gate_verdict v = give_back(packet(packet_kind::segment),
+                                         server_gate::question_tag);
+        CPPUNIT_ASSERT(v.what == gate_verdict::action::reset);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{77}, v.sequence);
+        CPPUNIT_ASSERT(gate_.questions().empty());
+    }
+
+    void lost_flow_raises_doubt_once()
+    {
+        open_flow();
+        use_flow();
+        const std::uint32_t tag = from_caller(packet(packet_kind::segment, 9));
+        const gate_verdict v = give_back(packet(packet_kind::segment, 9), tag);
+        CPPUNIT_ASSERT(v.what == gate_verdict::action::give_back);
+        CPPUNIT_ASSERT_EQUAL(1, doubts_);
+        give_back(packet(packet_kind::segment, 9), tag);
+        CPPUNIT_ASSERT_EQUAL(1, doubts_);
+    }
+
+    void returned_packet_of_a_foreign_flow_raises_no_doubt()
+    {
+        const std::uint32_t tag = from_caller(packet(packet_kind::segment, 9));
+        give_back(packet(packet_kind::segment, 9), tag);
+        CPPUNIT_ASSERT_EQUAL(0, doubts_);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(server_gate_test);
+
+} // namespace
--- a/test/relay/relay_path_test.cpp
+++ b/test/relay/relay_path_test.cpp
@@ -38,6 +38,9 @@
     CPPUNIT_TEST(packet_that_comes_back_ends_in_a_reset);
     CPPUNIT_TEST(drained_server_is_not_offered_a_flow);
     CPPUNIT_TEST(server_that_returns_openings_is_reported_silent);
+    CPPUNIT_TEST(caller_of_an_ended_server_is_told);
+    CPPUNIT_TEST(agent_started_anew_tells_callers_of_an_ended_server);
+    CPPUNIT_TEST(agent_started_anew_leaves_live_flows_alone);
     CPPUNIT_TEST(damaged_datagrams_do_no_harm);
     CPPUNIT_TEST_SUITE_END();
 
@@ -231,6 +234,60 @@
         run_until([this] { return reported_state() == server_state::unknown; });
     }
 
+    /// A flow on which the server has answered and the caller acknowledged.
+    void use_flow()
+    {
+        caller_reaches_the_server_and_back();
+        call(packet_flags::ack, "");
+        pass(50ms);
+    }
+
+    void announce_server(std::uint64_t born_ms)
+    {
+        server_heartbeat beat;
+        beat.id = "i";
+        beat.born_ms = born_ms;
+        beat.sequence = 1;
+        beat.service = "a";
+        CPPUNIT_ASSERT(agent_->server().take(beat));
+    }
+
+    bool caller_was_reset() const
+    {
+        return !at_caller_.empty() &&
+               at_caller_.back().flags == packet_flags::rst;
+    }
+
+    void caller_of_an_ended_server_is_told()
+    {
+        announce_server(1);
+        use_flow();
+        returns_all_ = true;
+        announce_server(2);
+        run_until([this] { return caller_was_reset(); });
+    }
+
+    void agent_started_anew_tells_callers_of_an_ended_server()
+    {
+        use_flow();
+        const auto saved = agent_->gate().questions();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, saved.size());
+        returns_all_ = true;
+        start_agent();
+        agent_->restore(saved);
+        run_until([this] { return caller_was_reset(); });
+    }
+
+    void agent_started_anew_leaves_live_flows_alone()
+    {
+        use_flow();
+        const auto saved = agent_->gate().questions();
+        start_agent();
+        agent_->restore(saved);
+        pass(1s);
+        CPPUNIT_ASSERT(!caller_was_reset());
+    }
+
     void damaged_datagrams_do_no_harm()
     {
         for (const auto& junk :
