--- a/include/briarfield/relay/flow_checkpoint.hpp
+++ b/include/briarfield/relay/flow_checkpoint.hpp
@@ -17,7 +17,7 @@
 {
     /// A reset counts only near the caller's last acknowledgment; a busy flow
     /// moves on by less than that within a few times this interval.
-    duration interval = std::chrono::seconds(4);
+    duration interval = std::chrono::seconds(6);
     /// Writing calls a second that the store grants all instances together.
     double store_writes = 400;
     /// Part of them that checkpoints may take; the rest is for the operators.
--- a/src/app/settings_table.cpp
+++ b/src/app/settings_table.cpp
@@ -168,7 +168,7 @@
         .doc("A server that was silent for so long gets no new flows; its "
              "address may then belong to another service."),
     row("relay", "checkpoint_interval", &settings::relay_checkpoint_interval)
-        .by_default("4s")
+        .by_default("6s")
         .range("500ms", "10min")
         .doc("Time between two checkpoints of an agent's open flows, if a "
              "store is set; longer when many agents share it."),
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -172,6 +172,8 @@
         return give_back(datagram, v);
     if (v.what == gate_verdict::action::reset)
     {
+        // What was asked is answered, although the server is not heard of yet.
+        restored_.clear();
         const auto bytes = codec_.build_reset(p.value().key, v.sequence);
         relay_->queue_copy({p.value().key.source, options_.caller_port},
                            {bytes.data(), bytes.size()});
