Flows among many servers are found by few questions; denials are remembered

Cause: a balancer that does not know a flow asks one server after the other in the order of the flow's ranks, but placed flows at the least loaded of all.

New flows go to the least loaded of the 8 highest ranks in the balancer's zone and the 8 highest elsewhere; a search takes both groups in turns. What a server denied within 2 s is not asked again. Tests: flow_among_many_servers_is_ found_soon and denials_are_not_asked_for_again_at_once fail before; port_used_again_is_searched_for_everywhere bounds the memory of denials; 3,000 schedules of flows_survive_generated_schedules hold.

--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -108,6 +108,14 @@
         duration reset_delay = std::chrono::milliseconds(350);
         /// Packets of a lost flow start a new search only after this.
         duration search_pause = std::chrono::milliseconds(150);
+        /// A server that denied a flow is not asked again for so long; far
+        /// less than until a caller uses a port again.
+        duration denial_memory = std::chrono::seconds(2);
+        /// New flows go to one of so many servers of the balancer's zone, and
+        /// of as many of other zones, that rank highest for the flow: another
+        /// balancer finds them among the first it asks, whatever the number
+        /// of servers. Few enough for that, enough to spread load well.
+        std::size_t choices = 8;
         /// Flows without a packet for so long are forgotten.
         duration idle = std::chrono::seconds(20);
     };
@@ -155,6 +163,9 @@
     agent_index choose_in(service_tag service,
                           std::uint64_t hash,
                           const flow_location& where);
+    void keep_best_candidates();
+    bool same_zone(agent_index i) const;
+    void start_search(flow_location& where) const;
     void collect_candidates(service_tag service,
                             std::uint64_t hash,
                             const flow_location& where,
--- a/include/briarfield/dispatch/flow_locator.hpp
+++ b/include/briarfield/dispatch/flow_locator.hpp
@@ -37,6 +37,7 @@
     bool insists = false; ///< The opening is to be taken by a busy server.
     std::vector<agent_index> tried; ///< Servers that do not have the flow.
     std::vector<agent_index> busy;  ///< Of these, those that were only busy.
+    std::vector<agent_index> mute;  ///< Of these, those that did not answer.
 };
 
 /// \brief Bounded cache from flows to agents.
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 
 namespace briarfield
 {
@@ -131,6 +132,7 @@
         return forward(dispatch_event::forwarded, known->agent,
                        {forward_mode::opening, agents_->at(known->agent).tag});
     note_tried(*known, known->agent);
+    known->mute.push_back(known->agent);
     known->unanswered = true;
     return place(p, *known);
 }
@@ -211,9 +213,41 @@
         collect_candidates(service, hash, where, false);
     if (candidates_.empty())
         return no_agent;
+    keep_best_candidates();
     return candidates_[policy_(candidates_)].agent;
 }
 
+/// Leaves options::choices of each: this zone, and others. One that has just
+/// said that it is busy ranks behind all that have not.
+void flow_dispatcher::keep_best_candidates()
+{
+    const auto before =
+        [](const placement_candidate& a, const placement_candidate& b)
+    {
+        if (a.same_zone != b.same_zone)
+            return a.same_zone;
+        if (a.busy != b.busy)
+            return b.busy;
+        return a.rank > b.rank;
+    };
+    std::sort(candidates_.begin(), candidates_.end(), before);
+    const auto others = std::find_if(candidates_.begin(), candidates_.end(),
+                                     [](const placement_candidate& c)
+                                     { return !c.same_zone; });
+    const auto most = static_cast<std::ptrdiff_t>(options_.choices);
+    const auto others_end =
+        others + std::min(most, candidates_.end() - others);
+    candidates_.erase(others_end, candidates_.end());
+    const auto near_end = candidates_.begin() +
+                          std::min(most, others - candidates_.begin());
+    candidates_.erase(near_end, others);
+}
+
+bool flow_dispatcher::same_zone(agent_index i) const
+{
+    return agents_->at(i).status.zone == options_.zone;
+}
+
 /// Servers that take flows of \a service; with \a established only those that
 /// other balancers must have heard of by now.
 void flow_dispatcher::collect_candidates(service_tag service,
@@ -231,7 +265,7 @@
             continue;
         const agent_directory::record& r = agents_->at(index);
         candidates_.push_back({index, placement_rank(hash, r.status.data),
-                               r.status.zone == options_.zone,
+                               same_zone(index),
                                agents_->busy(index), &r});
     }
 }
@@ -251,10 +285,7 @@
     {
         if (now - where.asked < options_.search_pause)
             return drop(dispatch_event::dropped_not_found);
-        where.state = location_state::searching;
-        where.agent = no_agent;
-        where.tried.clear();
-        where.unanswered = false;
+        start_search(where);
     }
     if (where.agent != no_agent && agents_->known(where.agent) &&
         now - where.asked < options_.search_patience)
@@ -263,11 +294,28 @@
     if (where.agent != no_agent)
     {
         where.unanswered = where.unanswered || agents_->known(where.agent);
+        where.mute.push_back(where.agent);
         note_tried(where, where.agent);
     }
     return search(p, where);
 }
 
+/// A server that has denied the flow a moment ago does not have it now: the
+/// packet is of a flow that was open before, and not there.
+void flow_dispatcher::start_search(flow_location& where) const
+{
+    where.state = location_state::searching;
+    where.agent = no_agent;
+    if (clock_->now() - where.first_lost >= options_.denial_memory)
+        where.tried.clear();
+    for (const agent_index i : where.mute)
+        where.tried.erase(
+            std::remove(where.tried.begin(), where.tried.end(), i),
+            where.tried.end());
+    where.mute.clear();
+    where.unanswered = false;
+}
+
 dispatch_verdict flow_dispatcher::search(const flow_packet& p,
                                          flow_location& where)
 {
@@ -280,15 +328,20 @@
                    {forward_mode::search, 0});
 }
 
-/// Agents of the route's services by rank, then all others.
+/// Agents of the route's services, then all others; by rank, this zone and the
+/// others in turns, as new flows are placed.
 agent_index flow_dispatcher::next_to_ask(const flow_key& key,
                                          const flow_location& where) const
 {
     const std::uint64_t hash = hash_of(key);
     const route_table::entry* route = routes_->find(destination_of(key));
+    const auto asked_here =
+        std::count_if(where.tried.begin(), where.tried.end(),
+                      [this](agent_index i) { return same_zone(i); });
+    const bool here_next =
+        2 * asked_here <= static_cast<std::ptrdiff_t>(where.tried.size());
     agent_index best = no_agent;
-    bool best_of_route = false;
-    std::uint64_t best_rank = 0;
+    std::tuple<bool, bool, std::uint64_t> best_order;
     for (std::size_t i = 0; i < agents_->size(); ++i)
     {
         const auto index = static_cast<agent_index>(i);
@@ -300,14 +353,13 @@
             std::any_of(route->targets.begin(), route->targets.end(),
                         [&r](const route_table::target& t)
                         { return t.service == r.tag; });
-        const std::uint64_t rank = placement_rank(hash, r.status.data);
-        if (best == no_agent || std::make_pair(of_route, rank) >
-                                    std::make_pair(best_of_route, best_rank))
-        {
-            best = index;
-            best_of_route = of_route;
-            best_rank = rank;
-        }
+        const auto order =
+            std::make_tuple(of_route, same_zone(index) == here_next,
+                            placement_rank(hash, r.status.data));
+        if (best != no_agent && order <= best_order)
+            continue;
+        best = index;
+        best_order = order;
     }
     return best;
 }
@@ -409,6 +461,7 @@
     where.agent = agent;
     where.rounds = 0;
     where.tried.clear();
+    where.mute.clear();
 }
 
 void flow_dispatcher::expire()
--- a/test/dispatch/flow_dispatcher_test.cpp
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -42,6 +42,10 @@
     CPPUNIT_TEST(flows_spread_over_servers);
     CPPUNIT_TEST(flows_that_come_at_once_spread);
     CPPUNIT_TEST(busy_servers_take_what_nobody_else_can);
+    CPPUNIT_TEST(flow_among_many_servers_is_found_soon);
+    CPPUNIT_TEST(load_spreads_over_many_servers);
+    CPPUNIT_TEST(denials_are_not_asked_for_again_at_once);
+    CPPUNIT_TEST(port_used_again_is_searched_for_everywhere);
     CPPUNIT_TEST(flows_survive_generated_schedules);
     CPPUNIT_TEST_SUITE_END();
 
@@ -408,6 +412,71 @@
         CPPUNIT_ASSERT(w_.server(0).openings - before < 15);
     }
 
+    std::size_t foreign_packets()
+    {
+        std::size_t n = 0;
+        for (std::size_t s = 0; s < w_.servers(); ++s)
+            n += w_.server(s).foreign_packets;
+        return n;
+    }
+
+    /// Sixty servers of a zone: a balancer that knows nothing asks few.
+    void flow_among_many_servers_is_found_soon()
+    {
+        constexpr std::uint16_t flows = 300;
+        start(60, 2);
+        for (std::uint16_t c = 1; c <= flows; ++c)
+            w_.open(0, c);
+        for (std::uint16_t c = 1; c <= flows; ++c)
+            w_.send(1, c);
+        for (std::uint16_t c = 1; c <= flows; ++c)
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, w_.caller(c).answers);
+        CPPUNIT_ASSERT(foreign_packets() <
+                       flows * flow_dispatcher::options().choices);
+    }
+
+    void load_spreads_over_many_servers()
+    {
+        start(60, 2);
+        for (std::uint16_t c = 1; c <= 600; ++c)
+        {
+            w_.open(c % 2, c);
+            w_.pass(20ms);
+        }
+        for (std::size_t s = 0; s < 60; ++s)
+            CPPUNIT_ASSERT(w_.server(s).flows.size() <= 20);
+    }
+
+    void denials_are_not_asked_for_again_at_once()
+    {
+        start(20, 1);
+        w_.restart_balancer(0);
+        w_.beat();
+        w_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, foreign_packets());
+        w_.pass(300ms);
+        w_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, foreign_packets());
+        w_.pass(1s);
+        w_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, w_.caller(1).resets_allowed);
+    }
+
+    /// The flow is opened through another balancer at a server that denied
+    /// the one before.
+    void port_used_again_is_searched_for_everywhere()
+    {
+        start(3, 2);
+        w_.send(0, 1);
+        w_.pass(flow_dispatcher::options().denial_memory);
+        w_.open(1, 1);
+        w_.send(0, 1);
+        w_.pass(500ms);
+        w_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, w_.caller(1).resets);
+        CPPUNIT_ASSERT(w_.caller(1).answers > 0);
+    }
+
     void flows_spread_over_servers()
     {
         start(7, 1);
