--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -108,10 +108,6 @@
         duration reset_delay = std::chrono::milliseconds(350);
         /// Packets of a lost flow start a new search only after this.
         duration search_pause = std::chrono::milliseconds(150);
-        /// Busy servers that an opening is offered to before one has to take
-        /// it: when so many are, most are, and asking on would only add to
-        /// their work.
-        std::size_t busy_tries = 4;
         /// A server that denied a flow is not asked again for so long; far
         /// less than until a caller uses a port again.
         duration denial_memory = std::chrono::seconds(2);
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -144,12 +144,10 @@
     if (route == nullptr)
         return drop(dispatch_event::dropped_no_route);
     service_tag service = 0;
-    const bool most_are_busy = where.busy.size() >= options_.busy_tries;
-    agent_index agent =
-        most_are_busy ? no_agent : choose(*route, p.key, where, service);
+    agent_index agent = choose(*route, p.key, where, service);
     if (agent == no_agent && !where.busy.empty())
     {
-        // One of those that could take the flow has to.
+        // All that could take the flow are busy; one of them has to.
         where.insists = true;
         for (const agent_index i : where.busy)
             where.tried.erase(
