--- a/include/briarfield/relay/relay_agent.hpp
+++ b/include/briarfield/relay/relay_agent.hpp
@@ -110,7 +110,7 @@
     std::uint64_t sequence_ = 0;
     std::uint64_t malformed_ = 0;
     std::size_t agent_count_ = 1;
-    std::vector<short_packet> to_ask_;  ///< In turns, the last one first.
+    std::vector<short_packet> to_ask_;   ///< In turns, the last one first.
     std::vector<short_packet> restored_; ///< Until the server is heard of.
     std::uint64_t asked_born_ms_ = 0;    ///< Life of the server asked last.
     bool reported_silent_ = false;
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -231,15 +231,14 @@
         return a.rank > b.rank;
     };
     std::sort(candidates_.begin(), candidates_.end(), before);
-    const auto others = std::find_if(candidates_.begin(), candidates_.end(),
-                                     [](const placement_candidate& c)
-                                     { return !c.same_zone; });
+    const auto others =
+        std::find_if(candidates_.begin(), candidates_.end(),
+                     [](const placement_candidate& c) { return !c.same_zone; });
     const auto most = static_cast<std::ptrdiff_t>(options_.choices);
-    const auto others_end =
-        others + std::min(most, candidates_.end() - others);
+    const auto others_end = others + std::min(most, candidates_.end() - others);
     candidates_.erase(others_end, candidates_.end());
-    const auto near_end = candidates_.begin() +
-                          std::min(most, others - candidates_.begin());
+    const auto near_end =
+        candidates_.begin() + std::min(most, others - candidates_.begin());
     candidates_.erase(near_end, others);
 }
 
@@ -265,8 +264,7 @@
             continue;
         const agent_directory::record& r = agents_->at(index);
         candidates_.push_back({index, placement_rank(hash, r.status.data),
-                               same_zone(index),
-                               agents_->busy(index), &r});
+                               same_zone(index), agents_->busy(index), &r});
     }
 }
 
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -9,11 +9,18 @@
 namespace
 {
 
-constexpr std::string_view event_names[] = {
-    "delivered",          "offered",        "answered",
-    "accepted",           "given_back",     "refused_service",
-    "refused_draining",   "refused_silent", "refused_busy",
-    "dropped_unknown_tag", "asked",          "reset_ended"};
+constexpr std::string_view event_names[] = {"delivered",
+                                            "offered",
+                                            "answered",
+                                            "accepted",
+                                            "given_back",
+                                            "refused_service",
+                                            "refused_draining",
+                                            "refused_silent",
+                                            "refused_busy",
+                                            "dropped_unknown_tag",
+                                            "asked",
+                                            "reset_ended"};
 static_assert(std::size(event_names) ==
               static_cast<std::size_t>(gate_event::count_));
 
@@ -94,10 +101,10 @@
     s.slots = latest.slots;
     s.flows = open_;
     s.busy = static_cast<float>(load_.mean());
-    s.warmup_ms = latest.warmup_ms > age.count()
-                      ? static_cast<std::uint32_t>(latest.warmup_ms -
-                                                   age.count())
-                      : 0;
+    s.warmup_ms =
+        latest.warmup_ms > age.count()
+            ? static_cast<std::uint32_t>(latest.warmup_ms - age.count())
+            : 0;
     return s;
 }
 
--- a/src/relay/flow_checkpoint.cpp
+++ b/src/relay/flow_checkpoint.cpp
@@ -41,8 +41,7 @@
     note_outcome(outcome ? result<void>(ok()) : outcome.error());
     if (!outcome)
     {
-        timer_ =
-            timers_->schedule(delay_.next(*random_), [this] { load(); });
+        timer_ = timers_->schedule(delay_.next(*random_), [this] { load(); });
         return;
     }
     loaded_ = true;
--- a/test/dispatch/server_gate_test.cpp
+++ b/test/dispatch/server_gate_test.cpp
@@ -130,8 +130,8 @@
     {
         open_flow();
         use_flow();
-        const gate_verdict v = give_back(packet(packet_kind::segment),
-                                         server_gate::question_tag);
+        const gate_verdict v =
+            give_back(packet(packet_kind::segment), server_gate::question_tag);
         CPPUNIT_ASSERT(v.what == gate_verdict::action::reset);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{77}, v.sequence);
         CPPUNIT_ASSERT(gate_.questions().empty());
--- a/test/relay/flow_checkpoint_test.cpp
+++ b/test/relay/flow_checkpoint_test.cpp
@@ -71,7 +71,8 @@
             stored_ = all;
             done(ok());
         };
-        checkpoint_ = std::make_unique<flow_checkpoint>(timers_, random_, calls);
+        checkpoint_ =
+            std::make_unique<flow_checkpoint>(timers_, random_, calls);
         checkpoint_->current = [this] { return current_; };
         checkpoint_->on_loaded = [this](const questions& all)
         { loaded_.push_back(all); };
