The loop does not read the system's certificate authorities

Cause: libwebsockets gives each virtual host a TLS context for clients and reads all authorities of the system into it (strace: 4 KB reads of the bundle for 50 ms). The loop's host makes plain connections alone; TLS clients have a host of their own.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -74,7 +74,10 @@
     lws_context_creation_info info{};
     info.port = CONTEXT_PORT_NO_LISTEN;
     info.protocols = loop_protocols();
-    info.options = LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+    // This host makes plain connections alone; reading the authorities of
+    // the system would take most of the time of a start.
+    info.options = LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT |
+                   LWS_SERVER_OPTION_DISABLE_OS_CA_CERTS;
     info.gid = -1;
     info.uid = -1;
     info.user = loop.get();
