An agent started anew opens no flow for a map older than its first one

Cause of KNOWN-RED flow_test affinity_test::flows_survive_restarts_of_agents, traced by printing the 50 steps of the shrunk schedule: agent 0 ceded bucket 0 to agent 3 at map 4, where the flow opened; agent 0 was restarted, got the bucket back with map 10 and knew nothing of what it had ceded; a balancer that still had map 1, whose chain names agent 0 alone, sent a datagram of the flow, and agent 0 opened it a second time.

Now nothing is opened for a map older than the first since the start, and a segment of TCP that only such a map led here ends in no reset.

--- a/include/briarfield/flow/agent_core.hpp
+++ b/include/briarfield/flow/agent_core.hpp
@@ -83,7 +83,9 @@
 /// bucket, an agent accepts a new flow only if every earlier owner that the
 /// packet's chain names has been asked and has ceded the bucket at the
 /// packet's map version or a later one; once it has ceded, it accepts no new
-/// flow of the bucket from an older map. See docs/design/flow-affinity.md.
+/// flow of the bucket from an older map. What an earlier run of the agent ceded
+/// is not known, so none is accepted from a map older than the first one since
+/// the start. See docs/design/flow-affinity.md.
 class agent_core
 {
 public:
@@ -262,6 +264,7 @@
                 const ip_packet_view& view);
     void pass_along(overlay_header& header, byte_span packet);
     void redirect(overlay_header& header, byte_span packet, cession& newer);
+    bool predates_start(const overlay_header& header) const;
     void decide_unclaimed(overlay_header& header,
                           byte_span packet,
                           const ip_packet_view& view);
--- a/src/flow/agent_core.cpp
+++ b/src/flow/agent_core.cpp
@@ -437,10 +437,24 @@
     forward(header, packet);
 }
 
+/// Whether an earlier run of this agent may have ceded the bucket after that
+/// map: its chain may lack the owner that has the flow.
+bool agent_core::predates_start(const overlay_header& header) const
+{
+    return header.map_version < first_map_.value;
+}
+
 void agent_core::decide_unclaimed(overlay_header& header,
                                   byte_span packet,
                                   const ip_packet_view& view)
 {
+    if (predates_start(header))
+    {
+        header.flags |= overlay_flags::incomplete;
+        // The server may know it; nothing else may come of it.
+        if (view.key.protocol == transport::tcp && !view.may_open())
+            return ask_server(header, packet, view);
+    }
     const bool incomplete = (header.flags & overlay_flags::incomplete) != 0;
     if (incomplete || cession_of(header.bucket).version > header.map_version)
     {
@@ -533,6 +547,11 @@
         count(agent_event::passed_along);
         return forward(held.header, packet);
     }
+    if ((held.header.flags & overlay_flags::incomplete) != 0)
+    {
+        count(agent_event::dropped_stale_map);
+        return;
+    }
     ip_packet_view view;
     if (parse_ip_packet(packet, view) == errc::ok)
         reset_caller(packet, view);
--- a/test/flow/agent_core_test.cpp
+++ b/test/flow/agent_core_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(no_flow_before_the_first_map);
     CPPUNIT_TEST(older_map_changes_nothing);
     CPPUNIT_TEST(ceded_bucket_takes_no_flow_of_an_older_map);
+    CPPUNIT_TEST(agent_started_anew_takes_no_flow_of_an_older_map);
     CPPUNIT_TEST(released_needs_the_hold_and_no_flow);
     CPPUNIT_TEST(stale_packet_is_led_along_the_newer_chain);
     CPPUNIT_TEST(owner_of_a_concurrent_map_is_asked_too);
@@ -106,6 +107,17 @@
                              count(agent_event::dropped_stale_map));
     }
 
+    /// An earlier run may have ceded the bucket after map 8.
+    void agent_started_anew_takes_no_flow_of_an_older_map()
+    {
+        agent_->on_map({9}, all());
+        receive(header({1}, 8), syn(1));
+        CPPUNIT_ASSERT_EQUAL(0U, delivered_);
+        CPPUNIT_ASSERT(to_fabric_.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             count(agent_event::dropped_stale_map));
+    }
+
     void released_needs_the_hold_and_no_flow()
     {
         agent_->on_map({1}, all());
