--- a/include/briarfield/net/event_loop.hpp
+++ b/include/briarfield/net/event_loop.hpp
@@ -4,6 +4,7 @@
 #include "briarfield/core/clock.hpp"
 #include "briarfield/core/error.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -13,6 +14,14 @@
 namespace briarfield
 {
 
+/// \brief Whether a loop can carry TLS. OpenSSL costs megabytes and
+/// milliseconds at the start.
+enum class tls_support : std::uint8_t
+{
+    off,
+    on
+};
+
 /// \brief The one loop on the one thread of a process, over libwebsockets.
 ///
 /// Runs descriptors, HTTP connections and the runtime's timers. Everything
@@ -23,7 +32,8 @@
     /// \brief Makes a loop whose timers run on \a c.
     ///
     /// Errors: errc::loop_failed.
-    static result<std::unique_ptr<event_loop>> create(const clock& c);
+    static result<std::unique_ptr<event_loop>>
+    create(const clock& c, tls_support tls = tls_support::on);
 
     ~event_loop();
     event_loop(const event_loop&) = delete;
--- a/src/app/relay_process.cpp
+++ b/src/app/relay_process.cpp
@@ -54,7 +54,7 @@
 
 result<void> relay_process::open()
 {
-    BOOST_OUTCOME_TRY(loop, event_loop::create(clock_));
+    BOOST_OUTCOME_TRY(loop, event_loop::create(clock_, tls_support::off));
     loop_ = std::move(loop);
     BOOST_OUTCOME_TRYV(loop_->watch_signals(
         {SIGTERM, SIGINT, SIGHUP}, [this](int number) { on_signal(number); }));
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -67,7 +67,8 @@
     hook_->loop = this;
 }
 
-result<std::unique_ptr<event_loop>> event_loop::create(const clock& c)
+result<std::unique_ptr<event_loop>> event_loop::create(const clock& c,
+                                                       tls_support tls)
 {
     lws_set_log_level(LLL_ERR, forward_lws_log);
     std::unique_ptr<event_loop> loop(new event_loop(c));
@@ -76,8 +77,9 @@
     info.protocols = loop_protocols();
     // This host makes plain connections alone; reading the authorities of
     // the system would take most of the time of a start.
-    info.options = LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT |
-                   LWS_SERVER_OPTION_DISABLE_OS_CA_CERTS;
+    info.options = LWS_SERVER_OPTION_DISABLE_OS_CA_CERTS;
+    if (tls == tls_support::on)
+        info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
     info.gid = -1;
     info.uid = -1;
     info.user = loop.get();
--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -30,7 +30,7 @@
     std::unique_ptr<http_server> server_;
     std::unique_ptr<store_client> client_;
     flow_checkpoint::calls calls_;
-    std::vector<std::string> seen_;       ///< Methods of the calls.
+    std::vector<std::string> seen_; ///< Methods of the calls.
     std::optional<nlohmann::json> object_;
     int failure_ = 0; ///< Status that answers every call, unless 0.
 
@@ -38,12 +38,12 @@
     void setUp() override
     {
         loop_ = std::move(event_loop::create(clock_).value());
-        server_ = std::move(
-            http_server::create(*loop_, endpoint::parse("127.0.0.1:0").value(),
-                                [this](const http_server_request& r,
-                                       const http_responder& out)
-                                { answer(r, out); })
-                .value());
+        server_ =
+            std::move(http_server::create(
+                          *loop_, endpoint::parse("127.0.0.1:0").value(),
+                          [this](const http_server_request& r,
+                                 const http_responder& out) { answer(r, out); })
+                          .value());
         start_client();
     }
 
@@ -81,7 +81,8 @@
         out.reply(200, body);
     }
 
-    template <class Done> void run_until(const Done& done)
+    template <class Done>
+    void run_until(const Done& done)
     {
         for (std::size_t turns = 0; !done(); ++turns)
         {
@@ -97,8 +98,7 @@
         const flow_checkpoint::questions all(
             flows, short_packet({bytes.data(), bytes.size()}));
         std::optional<errc> outcome;
-        calls_.save(all,
-                    [&outcome](const result<void>& r)
+        calls_.save(all, [&outcome](const result<void>& r)
                     { outcome = r ? errc::ok : r.error().code; });
         run_until([&outcome] { return outcome.has_value(); });
         return *outcome;
@@ -130,8 +130,8 @@
         CPPUNIT_ASSERT(save(0) == errc::ok);
         CPPUNIT_ASSERT(!object_);
         CPPUNIT_ASSERT(save(0) == errc::ok);
-        CPPUNIT_ASSERT((seen_ == std::vector<std::string>{
-                                     "GET", "POST", "PUT", "DELETE", "DELETE"}));
+        CPPUNIT_ASSERT((seen_ == std::vector<std::string>{"GET", "POST", "PUT",
+                                                          "DELETE", "DELETE"}));
     }
 
     void next_agent_finds_the_checkpoint()
