--- a/fuzz/platform_records.cpp
+++ b/fuzz/platform_records.cpp
@@ -1,10 +1,11 @@
+#include "../platform/checkpoint_record.hpp"
 #include "../platform/records.hpp"
 
 #include <string_view>
 
 using namespace briarfield;
 
-/// Bodies of heartbeats and of the operator's configuration.
+/// Bodies of heartbeats, of the operator's configuration and of checkpoints.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size)
 {
@@ -12,5 +13,9 @@
     std::size_t unreadable = 0;
     (void)platform::read_configuration(body, unreadable);
     (void)platform::read_heartbeat(body, "i-1");
+    const auto spec = nlohmann::json::parse(body, nullptr, false);
+    for (const short_packet& packet : platform::read_checkpoint(spec))
+        if (packet.empty() || packet.span().size() > short_packet::capacity)
+            __builtin_trap();
     return 0;
 }
