Names: probes of open flows, servers that stayed silent

A newcomer knows probes from the GUE path's agent; "question" and "mute" were words of our own. No behaviour changes; events asks_server and asked of logs and metrics are now server_probed and probed.

--- a/include/briarfield/dispatch/flow_locator.hpp
+++ b/include/briarfield/dispatch/flow_locator.hpp
@@ -35,9 +35,9 @@
     time_point asks_again{};      ///< When a kept packet is handed in again.
     bool unanswered = false;      ///< A server of this round said nothing.
     bool insists = false; ///< The opening is to be taken by a busy server.
-    std::vector<agent_index> tried; ///< Servers that do not have the flow.
-    std::vector<agent_index> busy;  ///< Of these, those that were only busy.
-    std::vector<agent_index> mute;  ///< Of these, those that did not answer.
+    std::vector<agent_index> tried;  ///< Servers that do not have the flow.
+    std::vector<agent_index> busy;   ///< Of these, those that were only busy.
+    std::vector<agent_index> silent; ///< Of these, those that did not answer.
 };
 
 /// \brief Bounded cache from flows to agents.
--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -32,7 +32,7 @@
     refused_silent,      ///< Opening while the server is silent.
     refused_busy,        ///< Opening while many requests are in progress.
     dropped_unknown_tag, ///< Returned, but sent before our start.
-    asked,               ///< A packet of an open flow, to the server again.
+    probed,              ///< A packet of an open flow, to the server again.
     reset_ended,         ///< The server returned that: the flow is over.
     count_
 };
@@ -76,11 +76,11 @@
     static constexpr std::size_t flow_capacity = 16384;
 
     /// \brief Tag of packets by which the server is asked about a flow.
-    static constexpr std::uint32_t question_tag = 0xffffffff;
+    static constexpr std::uint32_t probe_tag = 0xffffffff;
 
     /// \brief A server that may have ended is asked about its flows once in
     /// this time.
-    static constexpr duration question_pause = std::chrono::milliseconds(500);
+    static constexpr duration probe_pause = std::chrono::milliseconds(500);
 
     /// \brief Balancers that an agent remembers; more than there are.
     static constexpr std::size_t balancer_capacity = 4096;
@@ -124,19 +124,19 @@
 
     std::uint32_t open_flows() const { return open_; }
 
-    /// \brief For each flow on which the server has spoken since its opening,
+    /// \brief For each flow on which the server has answered since its opening,
     /// the caller's last packet without payload.
     ///
     /// Handed to the server again it does nothing if the server has the flow,
     /// and comes back if not.
-    std::vector<short_packet> questions() const;
+    std::vector<short_packet> probes() const;
 
     /// \brief Notes that the server was handed such a packet.
-    void note_asked() { counters_.add(gate_event::asked); }
+    void note_probed() { counters_.add(gate_event::probed); }
 
     /// \brief Called when the server may have ended with its flows: it has
-    /// returned a packet of a flow on which it had spoken.
-    std::function<void()> on_doubt;
+    /// returned a packet of a flow on which it had answered.
+    std::function<void()> on_flow_lost;
 
     /// \brief Whether the server has just returned an opening and accepted none
     /// since: it has no room, or is gone without a word.
@@ -166,9 +166,10 @@
         bool open = false;          ///< The server has answered the opening.
         bool told = false;          ///< The balancer knows of the flow.
         bool in_progress = false;
-        bool over = false;   ///< An end has closed or reset it.
-        bool spoken = false; ///< The server has sent more than its acceptance.
-        short_packet question; ///< See \ref questions.
+        bool over = false; ///< An end has closed or reset it.
+        bool answered =
+            false;          ///< The server has sent more than its acceptance.
+        short_packet probe; ///< See \ref probes.
     };
 
     std::uint16_t position_of(const endpoint& balancer);
@@ -178,7 +179,7 @@
     void end_request(flow& f);
     void close(flow& f);
     void forget(const flow_key& key);
-    void doubt(const flow_key& key);
+    void note_returned(const flow_key& key);
     gate_verdict end_flow(const flow_packet& p);
     bool busy() const;
     server_state reported_state() const;
@@ -192,7 +193,7 @@
     const clock* clock_;
     server_registration* server_;
     time_point opening_returned_{}; ///< Last one, since one was accepted.
-    time_point doubted_{};          ///< When on_doubt was called last.
+    time_point last_flow_lost_{};   ///< When on_flow_lost was called last.
     load_gauge load_;
     counter_set<gate_event> counters_;
     histogram request_times_ = histogram::of_durations();
--- a/include/briarfield/relay/flow_checkpoint.hpp
+++ b/include/briarfield/relay/flow_checkpoint.hpp
@@ -31,21 +31,21 @@
 /// When an instance loses power, its server's flows end and its agent forgets
 /// them. The callers learn of that only from the packets that they send next,
 /// which is too late for requests that may run once only. So the agent saves
-/// \ref server_gate::questions now and then, and the next agent of the
+/// \ref server_gate::probes now and then, and the next agent of the
 /// instance asks them. A stale or missing checkpoint does no harm: the server
 /// decides.
 class flow_checkpoint
 {
 public:
-    using questions = std::vector<short_packet>;
+    using probes = std::vector<short_packet>;
 
     /// \brief Calls of the store. Each calls its handler once, later.
     struct calls
     {
         /// Hands over what was saved last; nothing if nothing ever was.
-        std::function<void(std::function<void(result<questions>)>)> load;
+        std::function<void(std::function<void(result<probes>)>)> load;
         /// Saves, or removes what is there when nothing is to be kept.
-        std::function<void(const questions&, std::function<void(result<void>)>)>
+        std::function<void(const probes&, std::function<void(result<void>)>)>
             save;
     };
 
@@ -67,13 +67,13 @@
     duration interval() const;
 
     /// \brief What is to be saved.
-    std::function<questions()> current;
+    std::function<probes()> current;
 
     /// \brief Agents that share the store; empty: one.
     std::function<std::size_t()> agents;
 
     /// \brief Called once with what was loaded.
-    std::function<void(const questions&)> on_loaded;
+    std::function<void(const probes&)> on_loaded;
 
     /// \brief Called when the store fails, and when it answers again.
     std::function<void(const error&)> on_lost;
@@ -81,7 +81,7 @@
 
 private:
     void load();
-    void take_loaded(const result<questions>& outcome);
+    void take_loaded(const result<probes>& outcome);
     void schedule_save();
     void save();
     void note_outcome(const result<void>& outcome);
--- a/include/briarfield/relay/relay_agent.hpp
+++ b/include/briarfield/relay/relay_agent.hpp
@@ -59,10 +59,10 @@
     /// \brief Asks the server about flows that it, or the one before it on
     /// this instance, had before the agent started.
     ///
-    /// \a questions are \ref server_gate::questions of an earlier agent; one
+    /// \a probes are \ref server_gate::probes of an earlier agent; one
     /// that the server returns ends its flow. Asked again when the server has
     /// been heard of.
-    void restore(const std::vector<short_packet>& questions);
+    void restore(const std::vector<short_packet>& probes);
 
     /// \brief Agents of all instances, as balancers say.
     std::size_t agent_count() const { return agent_count_; }
@@ -89,9 +89,9 @@
     void on_notice(const balancer_notice& notice);
     void give_back(byte_span packet, const gate_verdict& v);
     void on_server_change();
-    void ask(const std::vector<short_packet>& questions);
-    void ask_next();
-    void put_question(const short_packet& question);
+    void probe_server(const std::vector<short_packet>& probes);
+    void send_probes();
+    void send_probe(const short_packet& probe);
     agent_status make_status();
     void send_heartbeats();
     void beat();
@@ -110,13 +110,15 @@
     std::uint64_t sequence_ = 0;
     std::uint64_t malformed_ = 0;
     std::size_t agent_count_ = 1;
-    std::vector<short_packet> to_ask_;   ///< In turns, the last one first.
-    std::vector<short_packet> restored_; ///< Until the server is heard of.
-    std::uint64_t asked_born_ms_ = 0;    ///< Life of the server asked last.
+    std::vector<short_packet>
+        waiting_probes_; ///< In turns, the last one first.
+    std::vector<short_packet>
+        restored_probes_;              ///< Until the server is heard of.
+    std::uint64_t probed_born_ms_ = 0; ///< Life of the server asked last.
     bool reported_silent_ = false;
     timer_id beat_timer_ = 0;
     timer_id check_timer_ = 0;
-    timer_id ask_timer_ = 0;
+    timer_id probe_timer_ = 0;
 };
 
 } // namespace briarfield
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -132,7 +132,7 @@
         return forward(dispatch_event::forwarded, known->agent,
                        {forward_mode::opening, agents_->at(known->agent).tag});
     note_tried(*known, known->agent);
-    known->mute.push_back(known->agent);
+    known->silent.push_back(known->agent);
     known->unanswered = true;
     return place(p, *known);
 }
@@ -292,7 +292,7 @@
     if (where.agent != no_agent)
     {
         where.unanswered = where.unanswered || agents_->known(where.agent);
-        where.mute.push_back(where.agent);
+        where.silent.push_back(where.agent);
         note_tried(where, where.agent);
     }
     return search(p, where);
@@ -306,11 +306,11 @@
     where.agent = no_agent;
     if (clock_->now() - where.first_lost >= options_.denial_memory)
         where.tried.clear();
-    for (const agent_index i : where.mute)
+    for (const agent_index i : where.silent)
         where.tried.erase(
             std::remove(where.tried.begin(), where.tried.end(), i),
             where.tried.end());
-    where.mute.clear();
+    where.silent.clear();
     where.unanswered = false;
 }
 
@@ -459,7 +459,7 @@
     where.agent = agent;
     where.rounds = 0;
     where.tried.clear();
-    where.mute.clear();
+    where.silent.clear();
 }
 
 void flow_dispatcher::expire()
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -137,7 +137,7 @@
 {
     // What comes back says nothing about the server: its instance returns
     // packets, too, when the server has crashed.
-    if (p.returned && tag == question_tag)
+    if (p.returned && tag == probe_tag)
         return end_flow(p);
     if (p.returned)
         return give_back(p, tag);
@@ -160,7 +160,7 @@
         if (on_decision)
             on_decision(p, v);
     }
-    f.spoken = f.spoken || !p.accepts;
+    f.answered = f.answered || !p.accepts;
     if (p.payload_size > 0 && f.in_progress)
         request_times_.record(f.last - f.asked);
     if (p.payload_size > 0)
@@ -189,7 +189,7 @@
     if (p.kind == packet_kind::opening)
         opening_returned_ = clock_->now();
     else
-        doubt(p.key);
+        note_returned(p.key);
     forget(p.key);
     v.what = gate_verdict::action::give_back;
     v.event = gate_event::given_back;
@@ -202,18 +202,18 @@
 
 /// A server returns no packet of a flow that it has, so it has lost this one,
 /// and probably all.
-void server_gate::doubt(const flow_key& key)
+void server_gate::note_returned(const flow_key& key)
 {
     const auto found = flows_.find(key);
-    const bool had = found != flows_.end() && found->second.spoken;
+    const bool had = found != flows_.end() && found->second.answered;
     const time_point now = clock_->now();
     const bool recently =
-        doubted_ != time_point{} && now - doubted_ < question_pause;
+        last_flow_lost_ != time_point{} && now - last_flow_lost_ < probe_pause;
     if (!had || recently)
         return;
-    doubted_ = now;
-    if (on_doubt)
-        on_doubt();
+    last_flow_lost_ = now;
+    if (on_flow_lost)
+        on_flow_lost();
 }
 
 /// The caller learns that its flow is over before it sends again.
@@ -230,12 +230,12 @@
     return v;
 }
 
-std::vector<short_packet> server_gate::questions() const
+std::vector<short_packet> server_gate::probes() const
 {
     std::vector<short_packet> all;
     for (const auto& [key, f] : flows_)
-        if (f.spoken && !f.over && !f.question.empty())
-            all.push_back(f.question);
+        if (f.answered && !f.over && !f.probe.empty())
+            all.push_back(f.probe);
     return all;
 }
 
@@ -273,8 +273,8 @@
     if (p.kind == packet_kind::opening)
     {
         // The caller has given up whatever flow it had here.
-        f.spoken = false;
-        f.question = short_packet();
+        f.answered = false;
+        f.probe = short_packet();
     }
     if (p.kind != packet_kind::opening && !f.open && !f.over)
     {
@@ -283,7 +283,7 @@
         ++open_;
     }
     if (p.kind == packet_kind::segment && p.payload_size == 0)
-        f.question = short_packet(p.bytes);
+        f.probe = short_packet(p.bytes);
     if (p.payload_size > 0 && !f.in_progress && !f.over)
     {
         if (f.asked == time_point{} && !offered_.empty())
--- a/src/relay/flow_checkpoint.cpp
+++ b/src/relay/flow_checkpoint.cpp
@@ -28,7 +28,7 @@
 void flow_checkpoint::load()
 {
     store_.load(
-        [this, alive = alive_](const result<questions>& outcome)
+        [this, alive = alive_](const result<probes>& outcome)
         {
             if (*alive)
                 take_loaded(outcome);
@@ -36,7 +36,7 @@
 }
 
 /// Nothing is saved before: it would replace what the last agent left.
-void flow_checkpoint::take_loaded(const result<questions>& outcome)
+void flow_checkpoint::take_loaded(const result<probes>& outcome)
 {
     note_outcome(outcome ? result<void>(ok()) : outcome.error());
     if (!outcome)
@@ -76,7 +76,7 @@
 
 void flow_checkpoint::save()
 {
-    const questions all = current ? current() : questions();
+    const probes all = current ? current() : probes();
     if (saving_ || (all.empty() && !saved_any_))
         return;
     saving_ = true;
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -15,10 +15,10 @@
 
 constexpr duration check_interval = 500ms;
 
-/// Questions that the server is handed at once, and the pause after them:
+/// Probes that the server is handed at once, and the pause after them:
 /// 64 a pause stay under a tenth of a small instance's processor.
-constexpr std::size_t questions_at_once = 64;
-constexpr duration question_pause = 20ms;
+constexpr std::size_t probes_at_once = 64;
+constexpr duration probe_pause = 20ms;
 
 } // namespace
 
@@ -59,7 +59,7 @@
 {
     loop_->timers().cancel(beat_timer_);
     loop_->timers().cancel(check_timer_);
-    loop_->timers().cancel(ask_timer_);
+    loop_->timers().cancel(probe_timer_);
 }
 
 result<void> relay_agent::open()
@@ -93,11 +93,11 @@
                      s.born_ms, s.sequence, s.slots);
         on_server_change();
     };
-    gate_.on_doubt = [this]
+    gate_.on_flow_lost = [this]
     {
         spdlog::warn("event=server_lost_flow server={} heard_ms={}",
                      server_.latest().id, whole_ms(server_.age()));
-        ask(gate_.questions());
+        probe_server(gate_.probes());
     };
     gate_.on_decision = [this](const flow_packet& p, const gate_verdict& v)
     {
@@ -173,7 +173,7 @@
     if (v.what == gate_verdict::action::reset)
     {
         // What was asked is answered, although the server is not heard of yet.
-        restored_.clear();
+        restored_probes_.clear();
         const auto bytes = codec_.build_reset(p.value().key, v.sequence);
         relay_->queue_copy({p.value().key.source, options_.caller_port},
                            {bytes.data(), bytes.size()});
@@ -198,65 +198,64 @@
 {
     send_heartbeats();
     const std::uint64_t born_ms = server_.latest().born_ms;
-    if (born_ms == asked_born_ms_)
+    if (born_ms == probed_born_ms_)
         return;
-    asked_born_ms_ = born_ms;
-    ask(restored_);
-    restored_.clear();
-    ask(gate_.questions());
+    probed_born_ms_ = born_ms;
+    probe_server(restored_probes_);
+    restored_probes_.clear();
+    probe_server(gate_.probes());
 }
 
-void relay_agent::restore(const std::vector<short_packet>& questions)
+void relay_agent::restore(const std::vector<short_packet>& probes)
 {
     if (server_.state() == server_state::unknown)
-        restored_ = questions;
-    ask(questions);
+        restored_probes_ = probes;
+    probe_server(probes);
 }
 
-void relay_agent::ask(const std::vector<short_packet>& questions)
+void relay_agent::probe_server(const std::vector<short_packet>& probes)
 {
-    if (questions.empty())
+    if (probes.empty())
         return;
-    spdlog::info("event=asks_server questions={} server={} state={} "
+    spdlog::info("event=server_probed probes={} server={} state={} "
                  "heard_ms={}",
-                 questions.size(), server_.latest().id,
+                 probes.size(), server_.latest().id,
                  server_state_name(server_.state()), whole_ms(server_.age()));
-    to_ask_.insert(to_ask_.end(), questions.begin(), questions.end());
-    if (ask_timer_ == 0)
-        ask_next();
+    waiting_probes_.insert(waiting_probes_.end(), probes.begin(), probes.end());
+    if (probe_timer_ == 0)
+        send_probes();
 }
 
-void relay_agent::ask_next()
+void relay_agent::send_probes()
 {
-    ask_timer_ = 0;
-    for (std::size_t i = 0; i < questions_at_once && !to_ask_.empty(); ++i)
+    probe_timer_ = 0;
+    for (std::size_t i = 0; i < probes_at_once && !waiting_probes_.empty(); ++i)
     {
-        put_question(to_ask_.back());
-        to_ask_.pop_back();
+        send_probe(waiting_probes_.back());
+        waiting_probes_.pop_back();
     }
     from_server_->flush();
-    if (!to_ask_.empty())
-        ask_timer_ =
-            loop_->timers().schedule(question_pause, [this] { ask_next(); });
+    if (!waiting_probes_.empty())
+        probe_timer_ =
+            loop_->timers().schedule(probe_pause, [this] { send_probes(); });
 }
 
-void relay_agent::put_question(const short_packet& question)
+void relay_agent::send_probe(const short_packet& probe)
 {
     // It may come from a store: only what callers write is handed on.
-    const auto p = codec_.decode_caller(question.span());
+    const auto p = codec_.decode_caller(probe.span());
     if (!p || p.value().kind != packet_kind::segment ||
         p.value().payload_size > 0 || p.value().returned)
     {
         ++malformed_;
         return;
     }
-    std::vector<std::uint8_t> bytes(question.span().begin(),
-                                    question.span().end());
+    std::vector<std::uint8_t> bytes(probe.span().begin(), probe.span().end());
     const byte_span packet(bytes.data(), bytes.size());
     codec_.clear_marks(packet);
-    codec_.put_tag(packet, server_gate::question_tag);
+    codec_.put_tag(packet, server_gate::probe_tag);
     from_server_->queue_copy(options_.server, packet);
-    gate_.note_asked();
+    gate_.note_probed();
 }
 
 void relay_agent::on_notice(const balancer_notice& notice)
--- a/test/dispatch/server_gate_test.cpp
+++ b/test/dispatch/server_gate_test.cpp
@@ -19,9 +19,9 @@
     CPPUNIT_TEST(accepted_flow_alone_is_not_asked_about);
     CPPUNIT_TEST(ended_flows_are_not_asked_about);
     CPPUNIT_TEST(reused_port_starts_anew);
-    CPPUNIT_TEST(returned_question_resets_the_flow);
-    CPPUNIT_TEST(lost_flow_raises_doubt_once);
-    CPPUNIT_TEST(returned_packet_of_a_foreign_flow_raises_no_doubt);
+    CPPUNIT_TEST(returned_probe_resets_the_flow);
+    CPPUNIT_TEST(lost_flow_is_told_once);
+    CPPUNIT_TEST(returned_packet_of_a_foreign_flow_is_no_loss);
     CPPUNIT_TEST_SUITE_END();
 
     manual_clock clock_;
@@ -29,7 +29,7 @@
     server_gate gate_{clock_, server_};
     const endpoint balancer_ = host_endpoint(1, 9000);
     std::vector<std::uint8_t> bytes_ = std::vector<std::uint8_t>(36, 7);
-    int doubts_ = 0;
+    int lost_flows_ = 0;
 
 public:
     void setUp() override
@@ -41,7 +41,7 @@
         beat.sequence = 1;
         beat.service = "datum";
         CPPUNIT_ASSERT(server_.take(beat));
-        gate_.on_doubt = [this] { ++doubts_; };
+        gate_.on_flow_lost = [this] { ++lost_flows_; };
     }
 
 private:
@@ -95,11 +95,11 @@
     {
         open_flow();
         use_flow();
-        const std::vector<short_packet> all = gate_.questions();
+        const std::vector<short_packet> all = gate_.probes();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, all.size());
-        const const_byte_span question = all[0].span();
-        CPPUNIT_ASSERT(std::equal(question.begin(), question.end(),
-                                  bytes_.begin(), bytes_.end()));
+        const const_byte_span probe = all[0].span();
+        CPPUNIT_ASSERT(std::equal(probe.begin(), probe.end(), bytes_.begin(),
+                                  bytes_.end()));
     }
 
     /// Another server may have answered a copy of the opening, too, and have
@@ -107,7 +107,7 @@
     void accepted_flow_alone_is_not_asked_about()
     {
         open_flow();
-        CPPUNIT_ASSERT(gate_.questions().empty());
+        CPPUNIT_ASSERT(gate_.probes().empty());
     }
 
     void ended_flows_are_not_asked_about()
@@ -115,7 +115,7 @@
         open_flow();
         use_flow();
         from_caller(packet(packet_kind::closing));
-        CPPUNIT_ASSERT(gate_.questions().empty());
+        CPPUNIT_ASSERT(gate_.probes().empty());
     }
 
     void reused_port_starts_anew()
@@ -123,37 +123,37 @@
         open_flow();
         use_flow();
         open_flow();
-        CPPUNIT_ASSERT(gate_.questions().empty());
+        CPPUNIT_ASSERT(gate_.probes().empty());
     }
 
-    void returned_question_resets_the_flow()
+    void returned_probe_resets_the_flow()
     {
         open_flow();
         use_flow();
         const gate_verdict v =
-            give_back(packet(packet_kind::segment), server_gate::question_tag);
+            give_back(packet(packet_kind::segment), server_gate::probe_tag);
         CPPUNIT_ASSERT(v.what == gate_verdict::action::reset);
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{77}, v.sequence);
-        CPPUNIT_ASSERT(gate_.questions().empty());
+        CPPUNIT_ASSERT(gate_.probes().empty());
     }
 
-    void lost_flow_raises_doubt_once()
+    void lost_flow_is_told_once()
     {
         open_flow();
         use_flow();
         const std::uint32_t tag = from_caller(packet(packet_kind::segment, 9));
         const gate_verdict v = give_back(packet(packet_kind::segment, 9), tag);
         CPPUNIT_ASSERT(v.what == gate_verdict::action::give_back);
-        CPPUNIT_ASSERT_EQUAL(1, doubts_);
+        CPPUNIT_ASSERT_EQUAL(1, lost_flows_);
         give_back(packet(packet_kind::segment, 9), tag);
-        CPPUNIT_ASSERT_EQUAL(1, doubts_);
+        CPPUNIT_ASSERT_EQUAL(1, lost_flows_);
     }
 
-    void returned_packet_of_a_foreign_flow_raises_no_doubt()
+    void returned_packet_of_a_foreign_flow_is_no_loss()
     {
         const std::uint32_t tag = from_caller(packet(packet_kind::segment, 9));
         give_back(packet(packet_kind::segment, 9), tag);
-        CPPUNIT_ASSERT_EQUAL(0, doubts_);
+        CPPUNIT_ASSERT_EQUAL(0, lost_flows_);
     }
 };
 
--- a/test/platform/checkpoint_record_test.cpp
+++ b/test/platform/checkpoint_record_test.cpp
@@ -27,7 +27,7 @@
             "a checkpoint is read as it was written",
             []
             {
-                flow_checkpoint::questions all;
+                flow_checkpoint::probes all;
                 const auto count = *rc::gen::inRange(0, 20);
                 for (int i = 0; i < count; ++i)
                 {
--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -95,7 +95,7 @@
     errc save(std::size_t flows)
     {
         const std::vector<std::uint8_t> bytes(36, 1);
-        const flow_checkpoint::questions all(
+        const flow_checkpoint::probes all(
             flows, short_packet({bytes.data(), bytes.size()}));
         std::optional<errc> outcome;
         calls_.save(all, [&outcome](const result<void>& r)
@@ -110,7 +110,7 @@
         std::optional<std::size_t> flows;
         bool answered = false;
         calls_.load(
-            [&](const result<flow_checkpoint::questions>& r)
+            [&](const result<flow_checkpoint::probes>& r)
             {
                 answered = true;
                 if (r)
--- a/test/relay/flow_checkpoint_test.cpp
+++ b/test/relay/flow_checkpoint_test.cpp
@@ -21,17 +21,17 @@
     CPPUNIT_TEST(answer_after_the_end_is_ignored);
     CPPUNIT_TEST_SUITE_END();
 
-    using questions = flow_checkpoint::questions;
+    using probes = flow_checkpoint::probes;
 
     manual_clock clock_;
     timer_queue timers_{clock_};
     random_source random_{1};
-    questions stored_;
-    questions current_;
+    probes stored_;
+    probes current_;
     bool up_ = true;
     std::size_t loads_ = 0;
     std::size_t saves_ = 0;
-    std::vector<questions> loaded_;
+    std::vector<probes> loaded_;
     std::unique_ptr<flow_checkpoint> checkpoint_;
     std::function<void(result<void>)> late_;
 
@@ -39,9 +39,9 @@
     void setUp() override { start_agent(); }
 
 private:
-    static questions packets(std::size_t count)
+    static probes packets(std::size_t count)
     {
-        questions all;
+        probes all;
         for (std::size_t i = 0; i < count; ++i)
         {
             const std::vector<std::uint8_t> bytes(36,
@@ -62,7 +62,7 @@
             else
                 done(fail(errc::store_unreachable));
         };
-        calls.save = [this](const questions& all, const auto& done)
+        calls.save = [this](const probes& all, const auto& done)
         {
             ++saves_;
             late_ = done;
@@ -74,7 +74,7 @@
         checkpoint_ =
             std::make_unique<flow_checkpoint>(timers_, random_, calls);
         checkpoint_->current = [this] { return current_; };
-        checkpoint_->on_loaded = [this](const questions& all)
+        checkpoint_->on_loaded = [this](const probes& all)
         { loaded_.push_back(all); };
     }
 
--- a/test/relay/relay_path_test.cpp
+++ b/test/relay/relay_path_test.cpp
@@ -270,7 +270,7 @@
     void agent_started_anew_tells_callers_of_an_ended_server()
     {
         use_flow();
-        const auto saved = agent_->gate().questions();
+        const auto saved = agent_->gate().probes();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, saved.size());
         returns_all_ = true;
         start_agent();
@@ -281,7 +281,7 @@
     void agent_started_anew_leaves_live_flows_alone()
     {
         use_flow();
-        const auto saved = agent_->gate().questions();
+        const auto saved = agent_->gate().probes();
         start_agent();
         agent_->restore(saved);
         pass(1s);
