--- /dev/null
+++ b/src/dispatch/flow_parts.hpp
@@ -0,0 +1,40 @@
+#ifndef BRIARFIELD_SRC_DISPATCH_FLOW_PARTS_HPP
+#define BRIARFIELD_SRC_DISPATCH_FLOW_PARTS_HPP
+
+#include "briarfield/dispatch/flow_locator.hpp"
+
+#include <algorithm>
+#include <vector>
+
+// Shared by the two sources of flow_dispatcher: placing and searching.
+namespace briarfield
+{
+
+/// Whether \a i is among \a all.
+inline bool contains(const std::vector<agent_index>& all, agent_index i)
+{
+    return std::find(all.begin(), all.end(), i) != all.end();
+}
+
+/// Notes that the server of \a i does not have the flow; once each.
+inline void note_tried(flow_location& where, agent_index i)
+{
+    if (i != no_agent && !contains(where.tried, i))
+        where.tried.push_back(i);
+}
+
+/// Hash by which a flow ranks servers; the same at every balancer.
+inline std::uint64_t hash_of(const flow_key& key)
+{
+    return flow_key_hash()(key);
+}
+
+/// Address and port of the service that the flow is for.
+inline endpoint destination_of(const flow_key& key)
+{
+    return {key.destination, key.destination_port};
+}
+
+} // namespace briarfield
+
+#endif
