One piece of code where the change had two

Found on reading the whole change once more; nothing behaves otherwise.

- forget_tried() serves placing (busy servers) and searching (silent ones).
- queue_frame() and relay_agent::send_status() serve heartbeats, farewells and notices, which wrote the same loop over balancers four times.
- flow_checkpoint::loaded_ followed from saved_any_; server_gate::server_refuses is private, since status() is what others ask.

Left as it is: document_follower and flow_checkpoint both tell lost and regained, eight lines each that guard different states; the stand-in's packet codec repeats the adapter's offsets on purpose, so that each checks the other.

--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -138,10 +138,6 @@
     /// returned a packet of a flow on which it had answered.
     std::function<void()> on_flow_lost;
 
-    /// \brief Whether the server has just returned an opening and accepted none
-    /// since: it has no room, or is gone without a word.
-    bool server_refuses() const;
-
     /// \brief What balancers are to hear of the server: its service, state and
     /// load. The caller adds the agent's address, zone and sequence.
     ///
@@ -182,6 +178,7 @@
     void note_returned(const flow_key& key);
     gate_verdict end_flow(const flow_packet& p);
     bool busy() const;
+    bool server_refuses() const;
     server_state reported_state() const;
     void note_offered();
     gate_verdict refuse(const flow_packet& p,
--- a/include/briarfield/relay/flow_checkpoint.hpp
+++ b/include/briarfield/relay/flow_checkpoint.hpp
@@ -91,7 +91,6 @@
     calls store_;
     flow_checkpoint_options options_;
     backoff delay_;
-    bool loaded_ = false;
     bool saving_ = false;
     bool saved_any_ = false; ///< Something is there, or may be.
     bool lost_ = false;
--- a/include/briarfield/relay/relay_agent.hpp
+++ b/include/briarfield/relay/relay_agent.hpp
@@ -94,6 +94,7 @@
     void send_probe(const short_packet& probe);
     agent_status make_status();
     void send_heartbeats();
+    void send_status(const agent_status& status);
     void beat();
     void check();
 
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -129,10 +129,7 @@
     {
         // All that could take the flow are busy; one of them has to.
         where.insists = true;
-        for (const agent_index i : where.busy)
-            where.tried.erase(
-                std::remove(where.tried.begin(), where.tried.end(), i),
-                where.tried.end());
+        forget_tried(where, where.busy);
         where.busy.clear();
         agent = choose(*route, p.key, where, service);
     }
--- a/src/dispatch/flow_parts.hpp
+++ b/src/dispatch/flow_parts.hpp
@@ -23,6 +23,16 @@
         where.tried.push_back(i);
 }
 
+/// Lets the servers of \a some be asked again.
+inline void forget_tried(flow_location& where,
+                         const std::vector<agent_index>& some)
+{
+    const auto is_one = [&some](agent_index i) { return contains(some, i); };
+    where.tried.erase(
+        std::remove_if(where.tried.begin(), where.tried.end(), is_one),
+        where.tried.end());
+}
+
 /// Hash by which a flow ranks servers; the same at every balancer.
 inline std::uint64_t hash_of(const flow_key& key)
 {
--- a/src/dispatch/flow_search.cpp
+++ b/src/dispatch/flow_search.cpp
@@ -48,10 +48,7 @@
     where.agent = no_agent;
     if (clock_->now() - where.first_lost >= options_.denial_memory)
         where.tried.clear();
-    for (const agent_index i : where.silent)
-        where.tried.erase(
-            std::remove(where.tried.begin(), where.tried.end(), i),
-            where.tried.end());
+    forget_tried(where, where.silent);
     where.silent.clear();
     where.unanswered = false;
 }
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -75,6 +75,8 @@
     return expected >= busy_per_slot * server_->latest().slots;
 }
 
+/// Whether the server has just returned an opening and accepted none since: it
+/// has no room, or is gone without a word.
 bool server_gate::server_refuses() const
 {
     return opening_returned_ != time_point{} &&
--- a/src/relay/flow_checkpoint.cpp
+++ b/src/relay/flow_checkpoint.cpp
@@ -44,7 +44,6 @@
         timer_ = timers_->schedule(delay_.next(*random_), [this] { load(); });
         return;
     }
-    loaded_ = true;
     saved_any_ = !outcome.value().empty();
     if (on_loaded)
         on_loaded(outcome.value());
@@ -95,7 +94,7 @@
 void flow_checkpoint::remove()
 {
     timers_->cancel(timer_);
-    if (loaded_ && saved_any_)
+    if (saved_any_)
         store_.save({}, [](const result<void>&) {});
 }
 
--- a/src/relay/message_frame.hpp
+++ b/src/relay/message_frame.hpp
@@ -3,8 +3,10 @@
 
 #include "briarfield/control/dispatch_messages.hpp"
 #include "briarfield/dispatch/relay_frame.hpp"
+#include "briarfield/net/udp_socket.hpp"
 
 #include <string>
+#include <vector>
 
 namespace briarfield
 {
@@ -26,6 +28,15 @@
     return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
 }
 
+/// Queues a whole frame to each of \a to.
+inline void queue_frame(udp_socket& from,
+                        const std::vector<endpoint>& to,
+                        const std::string& frame)
+{
+    for (const endpoint& e : to)
+        from.queue_copy(e, bytes_of(frame));
+}
+
 /// "caller>service", the name of a flow in logs.
 inline std::string flow_name(const flow_key& key)
 {
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -18,7 +18,7 @@
 /// Probes that the server is handed at once, and the pause after them:
 /// 64 a pause stay under a tenth of a small instance's processor.
 constexpr std::size_t probes_at_once = 64;
-constexpr duration probe_pause = 20ms;
+constexpr duration batch_pause = 20ms;
 
 } // namespace
 
@@ -237,7 +237,7 @@
     from_server_->flush();
     if (!waiting_probes_.empty())
         probe_timer_ =
-            loop_->timers().schedule(probe_pause, [this] { send_probes(); });
+            loop_->timers().schedule(batch_pause, [this] { send_probes(); });
 }
 
 void relay_agent::send_probe(const short_packet& probe)
@@ -289,9 +289,12 @@
 
 void relay_agent::send_heartbeats()
 {
-    const std::string frame = message_frame(make_status());
-    for (const endpoint& balancer : balancers_.contacts())
-        relay_->queue_copy(balancer, bytes_of(frame));
+    send_status(make_status());
+}
+
+void relay_agent::send_status(const agent_status& status)
+{
+    queue_frame(*relay_, balancers_.contacts(), message_frame(status));
     relay_->flush();
 }
 
@@ -299,10 +302,7 @@
 {
     agent_status s = make_status();
     s.restarting = true;
-    const std::string frame = message_frame(s);
-    for (const endpoint& balancer : balancers_.contacts())
-        relay_->queue_copy(balancer, bytes_of(frame));
-    relay_->flush();
+    send_status(s);
     loop_->timers().cancel(beat_timer_);
 }
 
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -363,9 +363,7 @@
 
 void relay_balancer::send_notices()
 {
-    const std::string to_balancers = message_frame(make_notice(true));
-    for (const endpoint& peer : peers_.contacts())
-        relay_->queue_copy(peer, bytes_of(to_balancers));
+    queue_frame(*relay_, peers_.contacts(), message_frame(make_notice(true)));
     const std::string to_agents = message_frame(make_notice(false));
     for (std::size_t i = 0; i < agents_.size(); ++i)
         if (agents_.fresh(static_cast<agent_index>(i)))
@@ -400,8 +398,7 @@
     notice.relay = options_.relay;
     notice.leaving = true;
     const std::string frame = message_frame(notice);
-    for (const endpoint& peer : peers_.contacts())
-        relay_->queue_copy(peer, bytes_of(frame));
+    queue_frame(*relay_, peers_.contacts(), frame);
     for (std::size_t i = 0; i < agents_.size(); ++i)
         relay_->queue_copy(agents_.at(static_cast<agent_index>(i)).status.data,
                            bytes_of(frame));
