Servers that end requests without an answer get no new flows for a while

Change: outlier_ejection counts requests that the server ends without a byte of an answer. Resets of an overloaded or draining server do not count. An ejected server is reported as silent and returns openings; if no other server takes an opening, one ejected server is tried. No change on the wire.

A retransmitted opening now keeps the forced mode of the first one.

Ruled out: returned packets (the server returns none), heartbeats (they go on).

--- a/include/briarfield/dispatch/agent_directory.hpp
+++ b/include/briarfield/dispatch/agent_directory.hpp
@@ -138,6 +138,11 @@
     /// is expected to once it has started.
     bool takes_flows(agent_index i, service_tag tag) const;
 
+    /// \brief Whether the agent's server belongs to service \a tag and is
+    /// reported as server_state::silent: it may take a flow that no other
+    /// server takes.
+    bool is_last_resort(agent_index i, service_tag tag) const;
+
     /// \brief Counts a flow placed on \a i; the next heartbeat of \a i resets
     /// the count.
     void record_placed(agent_index i) { ++records_[i].placed; }
--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -169,21 +169,30 @@
 
 private:
     dispatch_verdict on_opening(const flow_packet& packet);
+    /// Servers among which one is chosen for a new flow.
+    enum class candidate_set : std::uint8_t
+    {
+        available, ///< Those that all balancers track; if none, all ready ones.
+        last_resort ///< Those that are reported as server_state::silent.
+    };
+
     dispatch_verdict place(const flow_packet& packet, flow_location& location);
     agent_index choose(const route_table::entry& route,
                        const flow_key& key,
                        const flow_location& location,
+                       candidate_set set,
                        service_tag& service);
     agent_index choose_of_service(service_tag service,
                                   std::uint64_t hash,
-                                  const flow_location& location);
+                                  const flow_location& location,
+                                  candidate_set set);
     void keep_best_candidates();
     bool same_zone(agent_index i) const;
     void start_search(flow_location& location) const;
-    void collect_candidates(service_tag service,
-                            std::uint64_t hash,
-                            const flow_location& location,
-                            bool established);
+    void
+    collect_candidates(std::uint64_t hash,
+                       const flow_location& location,
+                       const std::function<bool(agent_index)>& is_candidate);
     dispatch_verdict on_missing_route(const flow_packet& packet);
     dispatch_verdict forward_existing(const flow_packet& packet,
                                       flow_location& location);
--- a/include/briarfield/dispatch/flow_locator.hpp
+++ b/include/briarfield/dispatch/flow_locator.hpp
@@ -35,6 +35,8 @@
     time_point retry_at{};   ///< When a kept packet is dispatched again.
     bool unanswered = false; ///< A server did not respond in this search.
     bool force = false; ///< Overloaded servers must accept the opening, too.
+    /// The opening was sent to a server that is reported as unavailable.
+    bool last_resort = false;
     std::vector<agent_index> tried; ///< Agents not to be tried again.
     /// Those of \ref tried that are only overloaded.
     std::vector<agent_index> overloaded;
--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -5,6 +5,7 @@
 #include "briarfield/core/histogram.hpp"
 #include "briarfield/dispatch/agent_directory.hpp"
 #include "briarfield/dispatch/load_gauge.hpp"
+#include "briarfield/dispatch/outlier_ejection.hpp"
 #include "briarfield/dispatch/server_registration.hpp"
 #include "briarfield/flow/flow_table.hpp"
 
@@ -31,6 +32,7 @@
     refused_draining,    ///< Opening while the server drains or has stopped.
     refused_silent,      ///< Opening while the server has timed out.
     refused_busy,        ///< Opening while the server is overloaded.
+    refused_failing,     ///< Opening while the server is ejected.
     dropped_unknown_tag, ///< Returned with a tag from before the agent's start.
     probed,      ///< Probe delivered to the server; the label is "asked".
     reset_ended, ///< Probe returned by the server: the flow is lost.
@@ -65,7 +67,8 @@
 ///
 /// The agent runs beside its server, so outdated records of balancers do no
 /// harm here: it rejects openings for another service, and openings while the
-/// server drains, has stopped or has timed out. Packets of flows always pass,
+/// server drains, has stopped, has timed out or fails its requests (see
+/// \ref outlier_ejection). Packets of flows always pass,
 /// since the server is the authority on its flows. The agent's own records of
 /// flows serve its load gauge and notify balancers of the location of a flow;
 /// losing them breaks nothing.
@@ -112,7 +115,7 @@
     static constexpr duration request_timeout = std::chrono::seconds(3);
 
     server_gate(const clock& c, server_registration& server)
-        : clock_(&c), server_(&server), load_(c)
+        : clock_(&c), server_(&server), load_(c), ejection_(c)
     {
     }
 
@@ -137,6 +140,9 @@
     /// has the flow, and is returned if not.
     std::vector<short_packet> probes() const;
 
+    /// \brief Forgets the failures of the server's earlier incarnation.
+    void on_new_server() { ejection_.clear(); }
+
     /// \brief Counts a probe delivered to the server.
     void record_probe() { counters_.add(gate_event::probed); }
 
@@ -144,12 +150,16 @@
     /// has returned a packet of a flow on which it had sent data.
     std::function<void()> on_flow_lost;
 
+    /// \brief Called when the server is ejected: it has ended several requests
+    /// in a row without an answer.
+    std::function<void()> on_ejected;
+
     /// \brief Data for the agent's heartbeat: service, state and load of the
     /// server. The caller adds the agent's address, zone, incarnation and
     /// sequence.
     ///
-    /// A server that has just returned an opening is reported as
-    /// server_state::silent.
+    /// A server that has just returned an opening, or is ejected, is reported
+    /// as server_state::silent.
     agent_status status();
 
     const counter_set<gate_event>& counters() const { return counters_; }
@@ -183,6 +193,7 @@
                        forward_mode mode,
                        std::uint16_t balancer);
     void end_request(tracked_flow& record);
+    void record_outcome(const tracked_flow& record, const flow_packet& packet);
     void close(tracked_flow& record);
     void remove_flow(const flow_key& key);
     void record_returned(const flow_key& key);
@@ -203,6 +214,7 @@
     time_point opening_returned_{};
     time_point last_flow_lost_{}; ///< When \ref on_flow_lost was last called.
     load_gauge load_;
+    outlier_ejection ejection_;
     counter_set<gate_event> counters_;
     histogram request_times_ = histogram::of_durations();
     std::unordered_map<flow_key, tracked_flow, flow_key_hash> flows_;
--- a/src/dispatch/agent_directory.cpp
+++ b/src/dispatch/agent_directory.cpp
@@ -139,6 +139,13 @@
     return agent.tag == tag && may_take && !agent.status.restarting && alive(i);
 }
 
+bool agent_directory::is_last_resort(agent_index i, service_tag tag) const
+{
+    const record& agent = records_[i];
+    return agent.tag == tag && agent.status.state == server_state::silent &&
+           !agent.status.restarting && alive(i);
+}
+
 void agent_directory::check()
 {
     const time_point now = clock_->now();
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -114,7 +114,7 @@
         now - cached->agent_chosen_at >= options_.opening_timeout;
     if (!timed_out)
         return forward(dispatch_event::forwarded, cached->agent,
-                       {forward_mode::opening, agents_->at(cached->agent).tag});
+                       {opening_mode(*cached), agents_->at(cached->agent).tag});
     add_tried(*cached, cached->agent);
     cached->unresponsive.push_back(cached->agent);
     cached->unanswered = true;
@@ -128,7 +128,8 @@
     if (route == nullptr)
         return drop(dispatch_event::dropped_no_route);
     service_tag service = 0;
-    agent_index agent = choose(*route, packet.key, location, service);
+    agent_index agent =
+        choose(*route, packet.key, location, candidate_set::available, service);
     if (agent == no_agent && !location.overloaded.empty())
     {
         // All servers that could take the flow are overloaded; one of them has
@@ -136,7 +137,16 @@
         location.force = true;
         remove_tried(location, location.overloaded);
         location.overloaded.clear();
-        agent = choose(*route, packet.key, location, service);
+        agent = choose(*route, packet.key, location, candidate_set::available,
+                       service);
+    }
+    if (agent == no_agent && !location.last_resort)
+    {
+        // All servers fail or have stopped; one that fails may serve the flow.
+        location.force = true;
+        location.last_resort = true;
+        agent = choose(*route, packet.key, location, candidate_set::last_resort,
+                       service);
     }
     if (agent == no_agent)
     {
@@ -165,6 +175,7 @@
 agent_index flow_dispatcher::choose(const route_table::entry& route,
                                     const flow_key& key,
                                     const flow_location& location,
+                                    candidate_set set,
                                     service_tag& service)
 {
     const std::uint64_t hash = hash_of(key);
@@ -172,7 +183,7 @@
     if (picked == nullptr)
         return no_agent;
     service = picked->service;
-    agent_index agent = choose_of_service(service, hash, location);
+    agent_index agent = choose_of_service(service, hash, location, set);
     for (const route_table::target& t : route.targets)
     {
         if (agent != no_agent)
@@ -180,19 +191,29 @@
         if (t.weight == 0 || t.service == picked->service)
             continue;
         service = t.service;
-        agent = choose_of_service(service, hash, location);
+        agent = choose_of_service(service, hash, location, set);
     }
     return agent;
 }
 
 agent_index flow_dispatcher::choose_of_service(service_tag service,
                                                std::uint64_t hash,
-                                               const flow_location& location)
+                                               const flow_location& location,
+                                               candidate_set set)
 {
+    const auto ready = [this, service](agent_index i)
+    { return agents_->takes_flows(i, service); };
+    const auto established = [this, ready](agent_index i)
+    { return ready(i) && agents_->established(i); };
+    const auto unavailable = [this, service](agent_index i)
+    { return agents_->is_last_resort(i, service); };
     candidates_.clear();
-    collect_candidates(service, hash, location, true);
-    if (candidates_.empty())
-        collect_candidates(service, hash, location, false);
+    if (set == candidate_set::last_resort)
+        collect_candidates(hash, location, unavailable);
+    else
+        collect_candidates(hash, location, established);
+    if (set == candidate_set::available && candidates_.empty())
+        collect_candidates(hash, location, ready);
     if (candidates_.empty())
         return no_agent;
     keep_best_candidates();
@@ -231,20 +252,16 @@
     return agents_->at(i).status.zone == options_.zone;
 }
 
-/// Adds the servers that take flows of \a service; with \a established only
-/// those that all other balancers track by now.
-void flow_dispatcher::collect_candidates(service_tag service,
-                                         std::uint64_t hash,
-                                         const flow_location& location,
-                                         bool established)
+/// Adds the servers for which \a is_candidate holds, except those tried.
+void flow_dispatcher::collect_candidates(
+    std::uint64_t hash,
+    const flow_location& location,
+    const std::function<bool(agent_index)>& is_candidate)
 {
     for (std::size_t i = 0; i < agents_->size(); ++i)
     {
         const auto index = static_cast<agent_index>(i);
-        if (!agents_->takes_flows(index, service) ||
-            contains(location.tried, index))
-            continue;
-        if (established && !agents_->established(index))
+        if (contains(location.tried, index) || !is_candidate(index))
             continue;
         const agent_directory::record& record = agents_->at(index);
         candidates_.push_back(
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -18,6 +18,7 @@
                                             "refused_draining",
                                             "refused_silent",
                                             "refused_busy",
+                                            "refused_failing",
                                             "dropped_unknown_tag",
                                             "asked",
                                             "reset_ended"};
@@ -49,6 +50,9 @@
     if (opening && server_->timed_out())
         return reject(packet, from, gate_event::refused_silent,
                       return_reason::silent);
+    if (info.mode == forward_mode::opening && ejection_.ejected())
+        return reject(packet, from, gate_event::refused_failing,
+                      return_reason::silent);
     if (info.mode == forward_mode::opening && overloaded())
         return reject(packet, from, gate_event::refused_busy,
                       return_reason::busy);
@@ -84,11 +88,12 @@
            clock_->now() - opening_returned_ < rejection_backoff;
 }
 
-/// A server that has timed out, has no capacity or has stopped without notice
-/// is reported as silent, so that it gets no new flows.
+/// A server that has timed out, has no capacity, has stopped without notice or
+/// fails its requests is reported as silent, so that it gets no new flows.
 server_state server_gate::reported_state() const
 {
-    const bool unavailable = server_->timed_out() || server_rejects_openings();
+    const bool unavailable = server_->timed_out() ||
+                             server_rejects_openings() || ejection_.ejected();
     const bool may_run = server_->state() != server_state::gone;
     return unavailable && may_run ? server_state::silent : server_->state();
 }
@@ -166,6 +171,7 @@
             on_decision(packet, verdict);
     }
     record.answered = record.answered || !packet.accepts;
+    record_outcome(record, packet);
     if (packet.payload_size > 0 && record.in_progress)
         request_times_.record(record.last_packet - record.request_start);
     if (packet.payload_size > 0)
@@ -182,6 +188,24 @@
     return verdict;
 }
 
+/// Judges the server by how it ends a request: with the first byte of an answer
+/// or, as a failure, with the end of the flow. An overloaded server may reject
+/// what it cannot queue, and a draining one ends its flows.
+void server_gate::record_outcome(const tracked_flow& record,
+                                 const flow_packet& packet)
+{
+    if (!record.in_progress)
+        return;
+    if (packet.payload_size > 0)
+        return ejection_.record_success();
+    const bool ended = packet.kind == packet_kind::reset ||
+                       packet.kind == packet_kind::closing;
+    const bool expected =
+        overloaded() || server_->state() != server_state::ready;
+    if (ended && !expected && ejection_.record_failure() && on_ejected)
+        on_ejected();
+}
+
 gate_verdict server_gate::return_packet(const flow_packet& packet,
                                         std::uint32_t tag)
 {
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -101,6 +101,12 @@
                      whole_ms(server_.time_since_last_activity()));
         probe_server(gate_.probes());
     };
+    gate_.on_ejected = [this]
+    {
+        spdlog::warn("event=server_ejected server={} flows={}",
+                     server_.latest().id, gate_.open_flows());
+        send_heartbeats();
+    };
     gate_.on_decision =
         [this](const flow_packet& p, const gate_verdict& verdict)
     {
@@ -203,9 +209,12 @@
 /// A restarted server holds none of the flows of its previous incarnation.
 void relay_agent::on_server_change()
 {
-    send_heartbeats();
     const std::uint64_t born_ms = server_.latest().born_ms;
-    if (born_ms == probed_start_ms_)
+    const bool restarted = born_ms != probed_start_ms_;
+    if (restarted)
+        gate_.on_new_server();
+    send_heartbeats();
+    if (!restarted)
         return;
     probed_start_ms_ = born_ms;
     probe_server(restored_probes_);
