A closing packet of the server is no failed request

A server's closing packet may overtake the answer (trial on a scratch copy that prints the packets of a download: closing first, then 20 kB), and it counted as a failure.

Change: only a reset counts.

--- a/include/briarfield/dispatch/outlier_ejection.hpp
+++ b/include/briarfield/dispatch/outlier_ejection.hpp
@@ -36,7 +36,8 @@
     /// \brief Records a request that the server has answered.
     void record_success();
 
-    /// \brief Records a request that the server has ended without an answer.
+    /// \brief Records a request whose flow the server has reset instead of
+    /// answering.
     ///
     /// \returns whether the server is ejected by this failure.
     bool record_failure();
--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -150,8 +150,8 @@
     /// has returned a packet of a flow on which it had sent data.
     std::function<void()> on_flow_lost;
 
-    /// \brief Called when the server is ejected: it has ended several requests
-    /// in a row without an answer.
+    /// \brief Called when the server is ejected: it has reset several flows in
+    /// a row that had a request in progress.
     std::function<void()> on_ejected;
 
     /// \brief Data for the agent's heartbeat: service, state and load of the
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -189,8 +189,9 @@
 }
 
 /// Judges the server by how it ends a request: with the first byte of an answer
-/// or, as a failure, with the end of the flow. An overloaded server may reject
-/// what it cannot queue, and a draining one ends its flows.
+/// or, as a failure, with a reset. A closing packet is no failure, since it may
+/// overtake the answer. An overloaded server may reset what it cannot queue,
+/// and a draining one ends its flows.
 void server_gate::record_outcome(const tracked_flow& record,
                                  const flow_packet& packet)
 {
@@ -198,11 +199,10 @@
         return;
     if (packet.payload_size > 0)
         return ejection_.record_success();
-    const bool ended = packet.kind == packet_kind::reset ||
-                       packet.kind == packet_kind::closing;
     const bool expected =
         overloaded() || server_->state() != server_state::ready;
-    if (ended && !expected && ejection_.record_failure() && on_ejected)
+    if (packet.kind == packet_kind::reset && !expected &&
+        ejection_.record_failure() && on_ejected)
         on_ejected();
 }
 
