Openings ask six overloaded servers at most, and are rejected where no answer is expected in aim

Load answered: bursts above what the slots can do.

Wire: a new frame kind for openings that an overloaded agent returns, and a new field of AgentStatus. Balancers go first in an upgrade.

--- a/include/briarfield/dispatch/agent_directory.hpp
+++ b/include/briarfield/dispatch/agent_directory.hpp
@@ -43,6 +43,8 @@
     std::uint32_t slots = 1;
     std::uint32_t flows = 0;        ///< Open flows.
     float requests_in_progress = 0; ///< Mean over the recent past.
+    /// Mean time of a request that need not wait for others; 0: unknown.
+    duration service_time{};
     /// Time left until the server runs at full speed.
     std::uint32_t warmup_ms = 0;
     bool restarting = false; ///< The agent stops; its server may keep running.
@@ -147,11 +149,9 @@
     /// the count.
     void record_placed(agent_index i) { ++records_[i].placed; }
 
-    /// \brief Records that \a i returned an opening because it is overloaded.
-    void record_overloaded(agent_index i)
-    {
-        records_[i].overloaded_until = clock_->now() + options_.overload_ttl;
-    }
+    /// \brief Records that \a i returned an opening because it is overloaded,
+    /// with \a requests in progress or expected.
+    void record_overloaded(agent_index i, std::uint16_t requests);
 
     /// \brief Whether \a i has returned an opening as overloaded within
     /// options::overload_ttl.
--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -24,6 +24,7 @@
     forwarded,           ///< Sent to the server that has the flow.
     searched,            ///< Sent to a server that may have the flow.
     refused_no_server,   ///< Reset: no server takes new flows.
+    refused_overloaded,  ///< Reset: no server answers within the route's aim.
     refused_no_route,    ///< Reset: no route to the address.
     reset_route_removed, ///< Reset: the flow's route was removed.
     reset_not_found,     ///< Reset: no server has the flow.
@@ -129,6 +130,14 @@
         /// enough that another balancer finds the flow within its first
         /// queries, whatever the number of servers; enough to spread load well.
         std::size_t max_candidates = 8;
+        /// An opening that this many overloaded servers have returned is forced
+        /// on the least loaded one: asking more takes longer than waiting
+        /// there.
+        std::size_t max_overloaded_asked = 6;
+        /// Part of the aim of a route that the expected time to an answer may
+        /// take on the least loaded server; otherwise an opening is rejected.
+        /// The rest covers requests that take longer than the mean.
+        double max_aim_fraction = 2.0 / 3;
         /// Cached flows without a packet for this long are removed.
         duration idle_timeout = std::chrono::seconds(20);
     };
@@ -145,7 +154,7 @@
     /// \brief Decides on a packet that the agent at \a from returned.
     dispatch_verdict on_returned_packet(const flow_packet& packet,
                                         const endpoint& from,
-                                        return_reason reason);
+                                        return_info info);
 
     /// \brief Records that the server of the agent at \a from has the flow.
     void on_flow_held(const flow_key& key, const endpoint& from);
@@ -177,6 +186,14 @@
     };
 
     dispatch_verdict place(const flow_packet& packet, flow_location& location);
+    agent_index choose_for(const route_table::entry& route,
+                           const flow_key& key,
+                           flow_location& location,
+                           service_tag& service);
+    bool misses_aim(const route_table::entry& route, agent_index agent) const;
+    dispatch_verdict reject_opening(const flow_packet& packet,
+                                    const flow_location& location,
+                                    dispatch_event event);
     agent_index choose(const route_table::entry& route,
                        const flow_key& key,
                        const flow_location& location,
--- a/include/briarfield/dispatch/flow_packet.hpp
+++ b/include/briarfield/dispatch/flow_packet.hpp
@@ -74,6 +74,15 @@
 /// \brief Label of \a reason in logs and metrics.
 std::string_view return_reason_name(return_reason reason) noexcept;
 
+/// \brief Data that an agent sends to a balancer with a returned packet.
+struct return_info
+{
+    return_reason reason = return_reason::not_taken;
+    /// Requests that are in progress, or expected, at the server now; for
+    /// return_reason::busy.
+    std::uint16_t requests = 0;
+};
+
 /// \brief Data that a balancer sends to an agent with a packet.
 struct forward_info
 {
--- a/include/briarfield/dispatch/placement.hpp
+++ b/include/briarfield/dispatch/placement.hpp
@@ -35,6 +35,11 @@
 /// in progress counts more.
 double expected_load(const agent_directory::record& record);
 
+/// \brief Time until another request that reaches the server now is answered:
+/// its turn in the queue, and the request itself. 0 if the server has answered
+/// none yet.
+duration expected_answer_time(const agent_directory::record& record);
+
 /// \brief The candidate of the highest rank, regardless of its load.
 placement_policy place_by_rank();
 
--- a/include/briarfield/dispatch/relay_frame.hpp
+++ b/include/briarfield/dispatch/relay_frame.hpp
@@ -12,20 +12,23 @@
 ///
 /// The first byte is the kind. In a forward frame the mode (1 byte) and the
 /// service's tag (4 bytes, little endian) follow, in a return frame the reason
-/// (1 byte); then comes the packet, or the encoded message.
+/// (1 byte), in an overload frame the number of requests at the server (2
+/// bytes, little endian); then comes the packet, or the encoded message.
 enum class frame_kind : std::uint8_t
 {
     message = 1,       ///< A control message; not part of the data path.
     forward = 2,       ///< Balancer to agent: a packet for the server.
     return_packet = 3, ///< Agent to balancer: a packet that was not taken.
+    /// Agent to balancer: an opening returned for return_reason::busy.
+    return_overloaded = 4,
 };
 
 /// \brief A decoded frame; \ref body points into the datagram.
 struct relay_frame
 {
     frame_kind kind = frame_kind::message;
-    forward_info info;                               ///< Of a forward frame.
-    return_reason reason = return_reason::not_taken; ///< Of a return frame.
+    forward_info info;    ///< Of a forward frame.
+    return_info returned; ///< Of a return or overload frame.
     byte_span body;
 };
 
@@ -43,9 +46,9 @@
 /// the whole frame.
 byte_span write_forward_frame(byte_span packet, forward_info info);
 
-/// \brief Writes the header of a return frame before \a packet, in place; see
-/// \ref write_forward_frame.
-byte_span write_return_frame(byte_span packet, return_reason reason);
+/// \brief Writes the header of a return or overload frame before \a packet, in
+/// place; see \ref write_forward_frame.
+byte_span write_return_frame(byte_span packet, return_info info);
 
 } // namespace briarfield
 
--- a/include/briarfield/dispatch/route_table.hpp
+++ b/include/briarfield/dispatch/route_table.hpp
@@ -1,6 +1,7 @@
 #ifndef BRIARFIELD_DISPATCH_ROUTE_TABLE_HPP
 #define BRIARFIELD_DISPATCH_ROUTE_TABLE_HPP
 
+#include "briarfield/core/clock.hpp"
 #include "briarfield/core/endpoint.hpp"
 #include "briarfield/core/error.hpp"
 #include "briarfield/dispatch/flow_packet.hpp"
@@ -26,6 +27,8 @@
 {
     endpoint address; ///< Address and port that callers use.
     std::vector<service_share> shares;
+    /// Time within which callers want an answer; 0: not given.
+    duration aim{};
 };
 
 /// \brief All routes of one version of the configuration.
@@ -59,6 +62,7 @@
     {
         std::vector<target> targets;
         std::uint64_t total_weight = 0;
+        duration aim{}; ///< See dispatch_route::aim.
 
         /// \brief Target for a flow with hash \a hash; the same for each
         /// retransmission of its opening. \returns null if no weight is
--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -7,6 +7,7 @@
 #include "briarfield/dispatch/load_gauge.hpp"
 #include "briarfield/dispatch/outlier_ejection.hpp"
 #include "briarfield/dispatch/server_registration.hpp"
+#include "briarfield/dispatch/service_time_gauge.hpp"
 #include "briarfield/flow/flow_table.hpp"
 
 #include <chrono>
@@ -58,7 +59,7 @@
     gate_event event = gate_event::delivered;
     std::uint32_t tag = 0;
     endpoint balancer;
-    return_reason reason = return_reason::not_taken;
+    return_info returned;         ///< For action::return_packet.
     bool notify_balancer = false; ///< Report the flow to \ref balancer.
     std::uint32_t sequence = 0;   ///< For action::reset.
 };
@@ -183,7 +184,8 @@
         /// The balancer has been notified of the flow.
         bool balancer_notified = false;
         bool in_progress = false;
-        bool closed = false;   ///< One end has closed or reset it.
+        bool found_free_slot = false; ///< The last request did not wait.
+        bool closed = false;          ///< One end has closed or reset it.
         bool answered = false; ///< The server has sent data after accepting.
         short_packet probe;    ///< See \ref probes.
     };
@@ -193,11 +195,13 @@
                        forward_mode mode,
                        std::uint16_t balancer);
     void end_request(tracked_flow& record);
+    void record_answer_time(const tracked_flow& record);
     void record_outcome(const tracked_flow& record, const flow_packet& packet);
     void close(tracked_flow& record);
     void remove_flow(const flow_key& key);
     void record_returned(const flow_key& key);
     gate_verdict end_flow(const flow_packet& packet);
+    std::size_t expected_requests() const;
     bool overloaded() const;
     bool server_rejects_openings() const;
     server_state reported_state() const;
@@ -214,6 +218,7 @@
     time_point opening_returned_{};
     time_point last_flow_lost_{}; ///< When \ref on_flow_lost was last called.
     load_gauge load_;
+    service_time_gauge service_time_;
     outlier_ejection ejection_;
     counter_set<gate_event> counters_;
     histogram request_times_ = histogram::of_durations();
--- a/src/control/dispatch.capnp
+++ b/src/control/dispatch.capnp
@@ -27,6 +27,8 @@
   busy @8 :Float32;            # requests in progress, recent mean
   warmup @9 :UInt32;           # milliseconds until full speed of the server
   restarting @10 :Bool;        # the agent stops; its server may keep running
+  serviceTime @11 :UInt32;     # microseconds of a request that need not wait,
+                               # recent mean; 0: unknown
 }
 
 # Sent by an agent to the balancer that forwarded a packet: the agent's server
--- a/src/control/dispatch.capnp.h
+++ b/src/control/dispatch.capnp.h
@@ -148,6 +148,8 @@
 
   inline bool getRestarting() const;
 
+  inline  ::uint32_t getServiceTime() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -221,6 +223,9 @@
   inline bool getRestarting();
   inline void setRestarting(bool value);
 
+  inline  ::uint32_t getServiceTime();
+  inline void setServiceTime( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -809,6 +814,20 @@
       ::capnp::bounded<144>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t AgentStatus::Reader::getServiceTime() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AgentStatus::Builder::getServiceTime() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void AgentStatus::Builder::setServiceTime( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FlowHeld::Reader::hasSource() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/control/dispatch_messages.cpp
+++ b/src/control/dispatch_messages.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
 using address_list = capnp::List<wire::Address>;
 
 void write_all(address_list::Builder writer, const std::vector<endpoint>& all)
@@ -44,6 +46,7 @@
     writer.setBusy(s.requests_in_progress);
     writer.setWarmup(s.warmup_ms);
     writer.setRestarting(s.restarting);
+    writer.setServiceTime(static_cast<std::uint32_t>(s.service_time / 1us));
 }
 
 void write(wire::DispatchDatagram::Builder root, const flow_held_message& m)
@@ -87,6 +90,7 @@
     s.requests_in_progress = reader.getBusy();
     s.warmup_ms = reader.getWarmup();
     s.restarting = reader.getRestarting();
+    s.service_time = reader.getServiceTime() * 1us;
     return dispatch_message(std::move(s));
 }
 
--- a/src/dispatch/agent_directory.cpp
+++ b/src/dispatch/agent_directory.cpp
@@ -51,16 +51,29 @@
                          agent.status.service != status.service;
     if (restarted)
         agent.replaced_incarnation = agent.status.incarnation;
+    const float returned_load = agent.status.requests_in_progress;
     agent.status = status;
     agent.tag = make_service_tag(status.service);
     agent.last_heartbeat = clock_->now();
-    agent.placed = 0;
+    // The mean in a heartbeat lags behind what the agent has just returned.
+    if (overloaded(i))
+        agent.status.requests_in_progress = returned_load;
+    else
+        agent.placed = 0;
     agent.timeout_reported = false;
     if (changed && on_change)
         on_change(agent);
     return true;
 }
 
+void agent_directory::record_overloaded(agent_index i, std::uint16_t requests)
+{
+    record& agent = records_[i];
+    agent.overloaded_until = clock_->now() + options_.overload_ttl;
+    agent.status.requests_in_progress = requests;
+    agent.placed = 0;
+}
+
 /// Adds a record, or reuses an expired one.
 agent_index agent_directory::allocate_record()
 {
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -16,6 +16,7 @@
                                             "forwarded",
                                             "searched",
                                             "refused_no_server",
+                                            "refused_overloaded",
                                             "refused_no_route",
                                             "reset_route_removed",
                                             "reset_not_found",
@@ -128,37 +129,15 @@
     if (route == nullptr)
         return drop(dispatch_event::dropped_no_route);
     service_tag service = 0;
-    agent_index agent =
-        choose(*route, packet.key, location, candidate_set::available, service);
-    if (agent == no_agent && !location.overloaded.empty())
-    {
-        // All servers that could take the flow are overloaded; one of them has
-        // to.
-        location.force = true;
-        remove_tried(location, location.overloaded);
-        location.overloaded.clear();
-        agent = choose(*route, packet.key, location, candidate_set::available,
-                       service);
-    }
-    if (agent == no_agent && !location.last_resort)
-    {
-        // All servers fail or have stopped; one that fails may serve the flow.
-        location.force = true;
-        location.last_resort = true;
-        agent = choose(*route, packet.key, location, candidate_set::last_resort,
-                       service);
-    }
+    const agent_index agent = choose_for(*route, packet.key, location, service);
     if (agent == no_agent)
-    {
-        // A server that did not respond may have taken the flow.
-        const bool may_be_open = location.unanswered;
-        flows_.erase(packet.key);
-        if (may_be_open || !running_for(options_.startup_grace))
-            return drop(dispatch_event::dropped_settling);
-        return reset(packet, dispatch_event::refused_no_server);
-    }
+        return reject_opening(packet, location,
+                              dispatch_event::refused_no_server);
     // The servers that are not overloaded have all been tried.
     location.force = location.force || agents_->overloaded(agent);
+    if (location.force && misses_aim(*route, agent))
+        return reject_opening(packet, location,
+                              dispatch_event::refused_overloaded);
     const bool retried = !location.tried.empty();
     location.state = location_state::placed;
     location.agent = agent;
@@ -170,6 +149,56 @@
                    agent, {opening_mode(location), service});
 }
 
+/// The best server for the opening; after enough overloaded servers have
+/// returned it, one of them, and if no other is left, one that has failed.
+agent_index flow_dispatcher::choose_for(const route_table::entry& route,
+                                        const flow_key& key,
+                                        flow_location& location,
+                                        service_tag& service)
+{
+    agent_index agent = no_agent;
+    if (location.overloaded.size() < options_.max_overloaded_asked)
+        agent = choose(route, key, location, candidate_set::available, service);
+    if (agent == no_agent && !location.overloaded.empty())
+    {
+        location.force = true;
+        remove_tried(location, location.overloaded);
+        location.overloaded.clear();
+        agent = choose(route, key, location, candidate_set::available, service);
+    }
+    if (agent == no_agent && !location.last_resort)
+    {
+        location.force = true;
+        location.last_resort = true;
+        agent =
+            choose(route, key, location, candidate_set::last_resort, service);
+    }
+    return agent;
+}
+
+/// Whether a request on \a agent is expected to be answered too late for the
+/// route: its caller does better to try again than to wait.
+bool flow_dispatcher::misses_aim(const route_table::entry& route,
+                                 agent_index agent) const
+{
+    const duration expected = expected_answer_time(agents_->at(agent));
+    return route.aim > duration(0) &&
+           expected > options_.max_aim_fraction * route.aim;
+}
+
+/// Resets an opening that no server has taken, so that nothing has run.
+dispatch_verdict flow_dispatcher::reject_opening(const flow_packet& packet,
+                                                 const flow_location& location,
+                                                 dispatch_event event)
+{
+    // A server that did not respond may have taken the flow.
+    const bool may_be_open = location.unanswered;
+    flows_.erase(packet.key);
+    if (may_be_open || !running_for(options_.startup_grace))
+        return drop(dispatch_event::dropped_settling);
+    return reset(packet, event);
+}
+
 /// The service picked by the flow's hash comes first, then the others of the
 /// route that take new flows.
 agent_index flow_dispatcher::choose(const route_table::entry& route,
@@ -272,7 +301,7 @@
 
 dispatch_verdict flow_dispatcher::on_returned_packet(const flow_packet& packet,
                                                      const endpoint& from,
-                                                     return_reason reason)
+                                                     return_info info)
 {
     if (routes_->find(destination_of(packet.key)) == nullptr)
         return report(packet, on_missing_route(packet));
@@ -281,10 +310,10 @@
     flow_location& location =
         cached != nullptr ? *cached : flows_.insert(packet.key, clock_->now());
     add_tried(location, agent);
-    if (reason == return_reason::busy && agent != no_agent)
+    if (info.reason == return_reason::busy && agent != no_agent)
     {
         location.overloaded.push_back(agent);
-        agents_->record_overloaded(agent);
+        agents_->record_overloaded(agent, info.requests);
     }
     if (packet.kind == packet_kind::opening)
     {
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -83,6 +83,15 @@
     return record.status.warmup_ms > 0 ? (load + 1) * warmup_factor - 1 : load;
 }
 
+duration expected_answer_time(const agent_directory::record& record)
+{
+    const double slots = std::max(1U, record.status.slots);
+    const double requests =
+        record.status.requests_in_progress + (record.placed + 1.0);
+    return std::chrono::duration_cast<duration>(
+        std::max(1.0, requests / slots) * record.status.service_time);
+}
+
 placement_policy place_by_rank()
 {
     return [](const std::vector<placement_candidate>& all)
--- a/src/dispatch/relay_frame.cpp
+++ b/src/dispatch/relay_frame.cpp
@@ -6,8 +6,9 @@
 namespace
 {
 
-constexpr std::size_t message_header_size = 1; // Bytes.
-constexpr std::size_t return_header_size = 2;  // Bytes.
+constexpr std::size_t message_header_size = 1;  // Bytes.
+constexpr std::size_t return_header_size = 2;   // Bytes.
+constexpr std::size_t overload_header_size = 3; // Bytes.
 
 void write_tag(std::uint8_t* to, service_tag tag)
 {
@@ -43,11 +44,33 @@
         return fail(errc::message_malformed, "invalid return frame");
     relay_frame frame;
     frame.kind = frame_kind::return_packet;
-    frame.reason = static_cast<return_reason>(datagram[1]);
+    frame.returned.reason = static_cast<return_reason>(datagram[1]);
     frame.body = datagram.drop_front(return_header_size);
     return frame;
 }
 
+result<relay_frame> read_overload(byte_span datagram)
+{
+    if (datagram.size() < overload_header_size)
+        return fail(errc::message_malformed, "invalid overload frame");
+    relay_frame frame;
+    frame.kind = frame_kind::return_packet;
+    frame.returned.reason = return_reason::busy;
+    frame.returned.requests =
+        static_cast<std::uint16_t>(datagram[1] | (datagram[2] << 8U));
+    frame.body = datagram.drop_front(overload_header_size);
+    return frame;
+}
+
+byte_span write_overload_frame(byte_span packet, std::uint16_t requests)
+{
+    std::uint8_t* start = packet.data() - overload_header_size;
+    start[0] = static_cast<std::uint8_t>(frame_kind::return_overloaded);
+    start[1] = static_cast<std::uint8_t>(requests);
+    start[2] = static_cast<std::uint8_t>(requests >> 8U);
+    return {start, packet.size() + overload_header_size};
+}
+
 } // namespace
 
 result<relay_frame> read_relay_frame(byte_span datagram)
@@ -60,6 +83,8 @@
         return read_forward(datagram);
     case frame_kind::return_packet:
         return read_return(datagram);
+    case frame_kind::return_overloaded:
+        return read_overload(datagram);
     case frame_kind::message:
         break;
     default:
@@ -79,11 +104,13 @@
     return {start, packet.size() + relay_frame_overhead};
 }
 
-byte_span write_return_frame(byte_span packet, return_reason reason)
+byte_span write_return_frame(byte_span packet, return_info info)
 {
+    if (info.reason == return_reason::busy)
+        return write_overload_frame(packet, info.requests);
     std::uint8_t* start = packet.data() - return_header_size;
     start[0] = static_cast<std::uint8_t>(frame_kind::return_packet);
-    start[1] = static_cast<std::uint8_t>(reason);
+    start[1] = static_cast<std::uint8_t>(info.reason);
     return {start, packet.size() + return_header_size};
 }
 
--- a/src/dispatch/route_table.cpp
+++ b/src/dispatch/route_table.cpp
@@ -9,6 +9,7 @@
 route_table::entry make_entry(const dispatch_route& route)
 {
     route_table::entry built;
+    built.aim = route.aim;
     for (const service_share& s : route.shares)
     {
         built.targets.push_back({make_service_tag(s.service), s.weight});
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -68,16 +68,21 @@
     return verdict;
 }
 
-/// Whether the requests in progress, and those expected from the latest
-/// openings, reach the limit for the server's slots.
-bool server_gate::overloaded() const
+/// Requests in progress, and those expected from the latest openings.
+std::size_t server_gate::expected_requests() const
 {
     const time_point now = clock_->now();
     const auto recent = std::count_if(
         recent_openings_.begin(), recent_openings_.end(),
         [now](time_point time) { return now - time < first_request_timeout; });
-    const double expected = load_.in_progress() + static_cast<double>(recent);
-    return expected >= max_requests_per_slot * server_->latest().slots;
+    return static_cast<std::size_t>(load_.in_progress() + recent);
+}
+
+/// Whether the expected requests reach the limit for the server's slots.
+bool server_gate::overloaded() const
+{
+    return static_cast<double>(expected_requests()) >=
+           max_requests_per_slot * server_->latest().slots;
 }
 
 /// Whether the server has just returned an opening and accepted none since: it
@@ -109,6 +114,7 @@
     reported.slots = latest.slots;
     reported.flows = open_count_;
     reported.requests_in_progress = static_cast<float>(load_.mean());
+    reported.service_time = service_time_.mean();
     reported.warmup_ms =
         latest.warmup_ms > age.count()
             ? static_cast<std::uint32_t>(latest.warmup_ms - age.count())
@@ -134,7 +140,9 @@
     gate_verdict verdict;
     verdict.decision = gate_verdict::action::return_packet;
     verdict.event = event;
-    verdict.reason = reason;
+    verdict.returned.reason = reason;
+    verdict.returned.requests = static_cast<std::uint16_t>(
+        std::min<std::size_t>(expected_requests(), 0xffff));
     verdict.balancer = from;
     if (on_decision)
         on_decision(packet, verdict);
@@ -173,7 +181,7 @@
     record.answered = record.answered || !packet.accepts;
     record_outcome(record, packet);
     if (packet.payload_size > 0 && record.in_progress)
-        request_times_.record(record.last_packet - record.request_start);
+        record_answer_time(record);
     if (packet.payload_size > 0)
         end_request(record);
     if (!record.balancer_notified)
@@ -188,6 +196,14 @@
     return verdict;
 }
 
+void server_gate::record_answer_time(const tracked_flow& record)
+{
+    const duration took = record.last_packet - record.request_start;
+    request_times_.record(took);
+    if (record.found_free_slot)
+        service_time_.record(took);
+}
+
 /// Judges the server by how it ends a request: with the first byte of an answer
 /// or, as a failure, with a reset. A closing packet is no failure, since it may
 /// overtake the answer. An overloaded server may reset what it cannot queue,
@@ -325,6 +341,8 @@
         record.in_progress = true;
         record.request_start = now;
         load_.begin_request();
+        record.found_free_slot =
+            load_.in_progress() <= static_cast<int>(server_->latest().slots);
     }
     if (packet.kind == packet_kind::reset ||
         packet.kind == packet_kind::closing)
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -203,7 +203,8 @@
 void relay_agent::return_packet(byte_span packet, const gate_verdict& verdict)
 {
     codec_.clear_marks(packet);
-    relay_->queue(verdict.balancer, write_return_frame(packet, verdict.reason));
+    relay_->queue(verdict.balancer,
+                  write_return_frame(packet, verdict.returned));
 }
 
 /// A restarted server holds none of the flows of its previous incarnation.
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -235,8 +235,9 @@
         return;
     }
     codec_.clear_marks(frame.body);
-    apply_verdict(dispatcher_.on_returned_packet(p.value(), from, frame.reason),
-                  frame.body, p.value());
+    apply_verdict(
+        dispatcher_.on_returned_packet(p.value(), from, frame.returned),
+        frame.body, p.value());
 }
 
 void relay_balancer::apply_verdict(const dispatch_verdict& verdict,
--- a/test/control/dispatch_messages_test.cpp
+++ b/test/control/dispatch_messages_test.cpp
@@ -114,12 +114,22 @@
         CPPUNIT_ASSERT_EQUAL(make_service_tag("a"),
                              forward_frame.value().info.service);
         CPPUNIT_ASSERT(forward_frame.value().body.data() == packet.data());
-        const auto return_frame =
-            read_relay_frame(write_return_frame(packet, return_reason::busy));
+        const auto return_frame = read_relay_frame(
+            write_return_frame(packet, {return_reason::silent, 0}));
         CPPUNIT_ASSERT(return_frame &&
                        return_frame.value().kind == frame_kind::return_packet);
-        CPPUNIT_ASSERT(return_frame.value().reason == return_reason::busy);
+        CPPUNIT_ASSERT(return_frame.value().returned.reason ==
+                       return_reason::silent);
         CPPUNIT_ASSERT(return_frame.value().body.data() == packet.data());
+        const auto overload_frame = read_relay_frame(
+            write_return_frame(packet, {return_reason::busy, 700}));
+        CPPUNIT_ASSERT(overload_frame && overload_frame.value().kind ==
+                                             frame_kind::return_packet);
+        CPPUNIT_ASSERT(overload_frame.value().returned.reason ==
+                       return_reason::busy);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{700},
+                             overload_frame.value().returned.requests);
+        CPPUNIT_ASSERT(overload_frame.value().body.data() == packet.data());
     }
 
     void malformed_frames_are_rejected()
@@ -133,8 +143,11 @@
         bytes[0] = 3;
         bytes[1] = static_cast<std::uint8_t>(return_reason::count_);
         CPPUNIT_ASSERT(!read_relay_frame({bytes, 6}));
+        bytes[0] = 4;
+        CPPUNIT_ASSERT(read_relay_frame({bytes, 3}));
+        CPPUNIT_ASSERT(!read_relay_frame({bytes, 2}));
         for (const std::uint8_t kind :
-             {std::uint8_t{0}, std::uint8_t{4}, std::uint8_t{255}})
+             {std::uint8_t{0}, std::uint8_t{5}, std::uint8_t{255}})
         {
             bytes[0] = kind;
             CPPUNIT_ASSERT(!read_relay_frame({bytes, 6}));
--- a/test/support/dispatch_world.cpp
+++ b/test/support/dispatch_world.cpp
@@ -252,7 +252,7 @@
     if (g.decision == gate_verdict::action::return_packet)
         execute(balancer_index, p,
                 balancers_[balancer_index]->dispatcher->on_returned_packet(
-                    p, servers_[s]->relay, g.reason));
+                    p, servers_[s]->relay, g.returned));
 }
 
 void dispatch_network::to_server(std::size_t server_index,
@@ -293,7 +293,7 @@
         const std::size_t b = balancer_at(g.balancer);
         return execute(b, again,
                        balancers_[b]->dispatcher->on_returned_packet(
-                           again, node.relay, g.reason));
+                           again, node.relay, g.returned));
     }
     if (g.decision != gate_verdict::action::answer)
         return;
--- a/test/support/load_model.cpp
+++ b/test/support/load_model.cpp
@@ -39,7 +39,9 @@
     clock_.advance(1h);
     route_set routes;
     routes.version = 1;
-    routes.routes = {{host_endpoint(250, service_port), {{service, 1}}}};
+    routes.routes = {{host_endpoint(250, service_port),
+                      {{service, 1}},
+                      bench::event_queue::to_duration(options_.aim_s)}};
     routes_.apply(routes);
     for (std::size_t i = 0; i < options_.balancers; ++i)
         add_balancer();
@@ -207,11 +209,11 @@
         servers_[i].gate->on_balancer_packet(p, info, balancers_[c->via].relay);
     if (g.decision == gate_verdict::action::deliver)
         return to_server(c, p, i);
-    const auto give_back = [this, c, p, i, reason = g.reason]
+    const auto give_back = [this, c, p, i, info = g.returned]
     {
         execute(c, p,
                 balancers_[c->via].dispatcher->on_returned_packet(
-                    p, servers_[i].relay, reason));
+                    p, servers_[i].relay, info));
     };
     events_.after(options_.link_s, give_back);
 }
