A search queries servers that only returned the opening

Two copies of an opening went through two balancers in a burst; the server that took one returned the other as overloaded. The balancer kept that return as "does not have the flow", so that a later search left out the very server that had it, and counted as conclusive. A rejected opening says nothing of another copy.

Change: what was recorded while a flow was placed is forgotten when it is searched for; a returned copy of an opening changes nothing once a server has taken the flow; an agent whose server has got one copy delivers the next ones, whatever its load; and copies keep the forced mode.

--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -185,6 +185,10 @@
         last_resort ///< Those that are reported as server_state::silent.
     };
 
+    dispatch_verdict on_returned_opening(const flow_packet& packet,
+                                         flow_location& location,
+                                         agent_index from,
+                                         return_reason reason);
     dispatch_verdict place(const flow_packet& packet, flow_location& location);
     agent_index choose_for(const route_table::entry& route,
                            const flow_key& key,
@@ -206,6 +210,7 @@
     void keep_best_candidates();
     bool same_zone(agent_index i) const;
     void start_search(flow_location& location) const;
+    static void end_placement(flow_location& location);
     void
     collect_candidates(std::uint64_t hash,
                        const flow_location& location,
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -309,28 +309,40 @@
     flow_location* cached = flows_.find(packet.key);
     flow_location& location =
         cached != nullptr ? *cached : flows_.insert(packet.key, clock_->now());
-    add_tried(location, agent);
     if (info.reason == return_reason::busy && agent != no_agent)
-    {
-        location.overloaded.push_back(agent);
         agents_->record_overloaded(agent, info.requests);
-    }
     if (packet.kind == packet_kind::opening)
-    {
-        // A late retransmission of an opening that a server has answered.
-        if (location.state == location_state::confirmed)
-            return drop(dispatch_event::dropped_settling);
-        if (location.agent != agent && location.agent != no_agent)
-            return forward(
-                dispatch_event::forwarded, location.agent,
-                {forward_mode::opening, agents_->at(location.agent).tag});
-        return report(packet, place(packet, location));
-    }
-    if (location.agent != agent && location.agent != no_agent)
+        return on_returned_opening(packet, location, agent, info.reason);
+    const bool is_current = location.agent == agent;
+    if (is_current)
+        end_placement(location);
+    add_tried(location, agent);
+    if (!is_current && location.agent != no_agent)
         return report(packet, forward_existing(packet, location));
     return report(packet, search(packet, location));
 }
 
+dispatch_verdict flow_dispatcher::on_returned_opening(const flow_packet& packet,
+                                                      flow_location& location,
+                                                      agent_index from,
+                                                      return_reason reason)
+{
+    // A late copy of an opening that a server has taken.
+    const bool placing = location.state == location_state::placed ||
+                         (location.state == location_state::searching &&
+                          location.agent == no_agent);
+    if (!placing)
+        return drop(dispatch_event::dropped_settling);
+    add_tried(location, from);
+    if (reason == return_reason::busy && from != no_agent)
+        location.overloaded.push_back(from);
+    if (location.agent != from && location.agent != no_agent)
+        return forward(
+            dispatch_event::forwarded, location.agent,
+            {opening_mode(location), agents_->at(location.agent).tag});
+    return report(packet, place(packet, location));
+}
+
 void flow_dispatcher::on_flow_held(const flow_key& key, const endpoint& from)
 {
     const agent_index agent = agents_->find(from);
--- a/src/dispatch/flow_search.cpp
+++ b/src/dispatch/flow_search.cpp
@@ -32,6 +32,7 @@
         now - location.agent_chosen_at < options_.search_timeout)
         return forward(dispatch_event::searched, location.agent,
                        {forward_mode::search, 0});
+    end_placement(location);
     if (location.agent != no_agent)
     {
         location.unanswered =
@@ -42,6 +43,20 @@
     return search(packet, location);
 }
 
+/// Servers that returned the opening, or did not respond to it, may have taken
+/// another copy of it, so a search must query them.
+void flow_dispatcher::end_placement(flow_location& location)
+{
+    if (location.state != location_state::placed &&
+        location.state != location_state::confirmed)
+        return;
+    location.state = location_state::searching;
+    location.tried.clear();
+    location.unresponsive.clear();
+    location.overloaded.clear();
+    location.unanswered = false;
+}
+
 /// A server that returned the flow within options::negative_response_ttl is not
 /// queried again: it cannot have it now, since the packet belongs to a flow
 /// that was open before.
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -50,10 +50,12 @@
     if (opening && server_->timed_out())
         return reject(packet, from, gate_event::refused_silent,
                       return_reason::silent);
-    if (info.mode == forward_mode::opening && ejection_.ejected())
+    const bool may_reject =
+        info.mode == forward_mode::opening && !was_delivered(packet.key);
+    if (may_reject && ejection_.ejected())
         return reject(packet, from, gate_event::refused_failing,
                       return_reason::silent);
-    if (info.mode == forward_mode::opening && overloaded())
+    if (may_reject && overloaded())
         return reject(packet, from, gate_event::refused_busy,
                       return_reason::busy);
     if (opening)
@@ -68,6 +70,14 @@
     return verdict;
 }
 
+/// Whether a copy of the flow's opening was delivered before: the server may
+/// have taken it, so that another server must not get the next copy.
+bool server_gate::was_delivered(const flow_key& key) const
+{
+    const auto found = flows_.find(key);
+    return found != flows_.end() && !found->second.closed;
+}
+
 /// Requests in progress, and those expected from the latest openings.
 std::size_t server_gate::expected_requests() const
 {
--- a/test/dispatch/overload_test.cpp
+++ b/test/dispatch/overload_test.cpp
@@ -3,6 +3,7 @@
 #include "support/dispatch_world.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <set>
 
 namespace
 {
@@ -24,6 +25,8 @@
     CPPUNIT_TEST(opening_of_a_route_without_aim_is_not_rejected);
     CPPUNIT_TEST(opening_that_a_server_may_have_taken_is_not_rejected);
     CPPUNIT_TEST(load_in_a_heartbeat_does_not_replace_a_newer_one);
+    CPPUNIT_TEST(server_that_returned_an_opening_may_have_the_flow);
+    CPPUNIT_TEST(late_copy_of_an_opening_does_not_hide_its_server);
     CPPUNIT_TEST_SUITE_END();
 
     manual_clock clock_;
@@ -145,6 +148,49 @@
         CPPUNIT_ASSERT(v.decision == dispatch_verdict::action::drop);
     }
 
+    /// Sends a segment of the flow and returns it until no server is asked.
+    dispatch_verdict return_segment(std::set<agent_index>& asked)
+    {
+        flow_packet segment = opening();
+        segment.kind = packet_kind::segment;
+        dispatch_verdict v = dispatcher_.on_caller_packet(segment);
+        while (v.decision == dispatch_verdict::action::forward)
+        {
+            asked.insert(v.agent);
+            v = dispatcher_.on_returned_packet(
+                segment, agents_.at(v.agent).status.relay_address,
+                {return_reason::not_taken, 0});
+        }
+        return v;
+    }
+
+    /// The server may have taken another copy of the opening, through another
+    /// balancer: a search asks it, too.
+    void server_that_returned_an_opening_may_have_the_flow()
+    {
+        start(3, 0s);
+        return_busy(dispatcher_.on_caller_packet(opening()), 9);
+        std::set<agent_index> asked;
+        return_segment(asked);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, asked.size());
+    }
+
+    void late_copy_of_an_opening_does_not_hide_its_server()
+    {
+        start(3, 0s);
+        const dispatch_verdict first = dispatcher_.on_caller_packet(opening());
+        const endpoint holder = agents_.at(first.agent).status.relay_address;
+        dispatcher_.on_flow_held(opening().key, holder);
+        const agent_index other = first.agent == 0 ? 1 : 0;
+        // Another server has answered a copy, too.
+        dispatcher_.on_flow_held(opening().key,
+                                 agents_.at(other).status.relay_address);
+        return_busy(first, 9);
+        std::set<agent_index> asked;
+        return_segment(asked);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, asked.size());
+    }
+
     void load_in_a_heartbeat_does_not_replace_a_newer_one()
     {
         start(1, 0s);
--- a/test/dispatch/server_gate_test.cpp
+++ b/test/dispatch/server_gate_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(resets_of_a_draining_server_are_no_failures);
     CPPUNIT_TEST(new_incarnation_is_not_ejected);
     CPPUNIT_TEST(forced_opening_reaches_an_ejected_server);
+    CPPUNIT_TEST(copy_of_a_delivered_opening_is_delivered);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint32_t slots = 4;
@@ -177,10 +178,10 @@
         gate_.on_server_packet(packet(end, 0, port), 0);
     }
 
-    gate_event offer(forward_mode mode)
+    gate_event offer(forward_mode mode, std::uint16_t port = 9)
     {
         return gate_
-            .on_balancer_packet(packet(packet_kind::opening, 0, 9),
+            .on_balancer_packet(packet(packet_kind::opening, 0, port),
                                 {mode, make_service_tag("datum")}, balancer_)
             .event;
     }
@@ -235,6 +236,17 @@
         CPPUNIT_ASSERT(gate_.status().state == server_state::ready);
     }
 
+    /// The server has the flow already, so another one must not get the copy.
+    void copy_of_a_delivered_opening_is_delivered()
+    {
+        CPPUNIT_ASSERT(offer(forward_mode::opening) == gate_event::offered);
+        for (std::uint16_t port = 100; port < 120; ++port)
+            from_caller(packet(packet_kind::segment, 100, port));
+        CPPUNIT_ASSERT(offer(forward_mode::opening, 8) ==
+                       gate_event::refused_busy);
+        CPPUNIT_ASSERT(offer(forward_mode::opening) == gate_event::offered);
+    }
+
     void forced_opening_reaches_an_ejected_server()
     {
         fail_request(1, packet_kind::reset);
