After a restart of everything, balancers and agents search for each other

The first agents' heartbeats had met no listening balancer and came again 0.3 s later.

Change: an agent that has no notice of any balancer for 1.5 s sends heartbeats every 50 ms, a balancer without agents sends notices every 100 ms, and one that has agents answers such a notice with their list. Nothing on the wire changes.

--- a/include/briarfield/relay/relay_agent.hpp
+++ b/include/briarfield/relay/relay_agent.hpp
@@ -34,6 +34,12 @@
     duration silence_limit = std::chrono::milliseconds(1900);
     /// Maximum interval between heartbeats; jitter shortens it by up to 1/8.
     duration heartbeat_interval = std::chrono::milliseconds(300);
+    /// The same while no balancer sends notices: after a restart of the whole
+    /// deployment, balancers need the first heartbeats to place any flow.
+    duration search_heartbeat_interval = std::chrono::milliseconds(50);
+    /// Balancers are taken to be down when none has sent a notice for this
+    /// long. Each sends one a second.
+    duration notice_timeout = std::chrono::milliseconds(1500);
 };
 
 /// \brief Agent of a server that returns packets of flows it does not hold.
@@ -102,6 +108,7 @@
     void send_heartbeats();
     void send_status(const agent_status& status);
     void send_periodic_heartbeat();
+    bool awaits_balancers() const;
     void run_periodic_check();
 
     event_loop* loop_;
@@ -117,6 +124,7 @@
     std::uint64_t sequence_ = 0;
     std::uint64_t malformed_ = 0;
     std::size_t agent_count_ = 1;
+    time_point last_notice_{}; ///< Of any balancer that does not leave.
     /// Probes that are sent in batches, from the back.
     std::vector<short_packet> pending_probes_;
     /// Probes that are sent again when the server's first heartbeat is
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -30,6 +30,8 @@
     flow_dispatcher::options dispatch;
     /// Interval of notices to other balancers and to agents.
     duration notice_interval = std::chrono::seconds(1);
+    /// The same while no agent is alive, to find those that the others track.
+    duration search_notice_interval = std::chrono::milliseconds(100);
 };
 
 /// \brief Balancer for servers that return packets of flows they do not hold.
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -286,6 +286,7 @@
                      notice.relay.to_string());
         return balancers_.on_leave(notice.relay);
     }
+    last_notice_ = loop_->timers().now();
     bool is_new = balancers_.on_notice(notice.relay, notice.incarnation);
     if (is_new)
         spdlog::info("event=balancer_heard balancer={}",
@@ -330,11 +331,20 @@
 {
     send_heartbeats();
     // The jitter spreads the heartbeats of agents that started together.
-    const duration jitter(static_cast<duration::rep>(random_->below(
-        static_cast<std::uint64_t>(options_.heartbeat_interval.count() / 8))));
-    heartbeat_timer_ =
-        loop_->timers().schedule(options_.heartbeat_interval - jitter,
-                                 [this] { send_periodic_heartbeat(); });
+    const duration interval = awaits_balancers()
+                                  ? options_.search_heartbeat_interval
+                                  : options_.heartbeat_interval;
+    const duration jitter(static_cast<duration::rep>(
+        random_->below(static_cast<std::uint64_t>(interval.count() / 8))));
+    heartbeat_timer_ = loop_->timers().schedule(interval - jitter, [this]
+                                                { send_periodic_heartbeat(); });
+}
+
+/// Whether no balancer is known to run.
+bool relay_agent::awaits_balancers() const
+{
+    return last_notice_ == time_point{} ||
+           loop_->timers().now() - last_notice_ > options_.notice_timeout;
 }
 
 void relay_agent::run_periodic_check()
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -316,12 +316,14 @@
                      notice.relay.to_string());
         return peers_.on_leave(notice.relay);
     }
-    if (peers_.on_notice(notice.relay, notice.incarnation))
-    {
+    const bool is_new = peers_.on_notice(notice.relay, notice.incarnation);
+    if (is_new)
         spdlog::info("event=balancer_heard balancer={} routes={}",
                      notice.relay.to_string(), notice.config_version);
+    const bool lacks_agents =
+        notice.agent_count == 0 && agents_.count_alive() > 0;
+    if (is_new || lacks_agents)
         send_notice(notice.relay, make_notice(true));
-    }
     for (const endpoint& other : notice.balancers)
         if (other != options_.relay && peers_.on_peer_reported(other))
             send_notice(other, make_notice(true));
@@ -377,8 +379,11 @@
                 agents_.at(static_cast<agent_index>(i)).status.relay_address,
                 bytes_of(to_agents));
     relay_->flush();
-    notice_timer_ = loop_->timers().schedule(options_.notice_interval,
-                                             [this] { send_notices(); });
+    const duration interval = agents_.count_alive() == 0
+                                  ? options_.search_notice_interval
+                                  : options_.notice_interval;
+    notice_timer_ =
+        loop_->timers().schedule(interval, [this] { send_notices(); });
 }
 
 void relay_balancer::run_periodic_check()
