Only first copies of openings are rejected for overload

Cause: from reading. A later copy may meet overload through another balancer while the first one has just been taken; its reset would end the attempt of a caller whose flow a server has.

Change: a later copy is forced on the least loaded server, as before the limit. During a balancer's startup grace openings that meet overload go on being dropped, like those that no server takes.

Tests: overload_test later_copy_of_an_opening_is_not_rejected, recently_started_balancer_rejects_no_overload.

--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -102,9 +102,8 @@
     struct options
     {
         std::string zone; ///< Availability zone of this balancer.
-        /// An opening that no server takes is not reset earlier than this after
-        /// the start: agents send several heartbeats in this time, so that all
-        /// are tracked.
+        /// An opening is not rejected earlier than this after the start: agents
+        /// send several heartbeats in this time, so that all are tracked.
         duration startup_grace = std::chrono::milliseconds(1500);
         /// No packet that may belong to a flow is reset earlier than this after
         /// the start; by then peers have reported the agents that they track.
@@ -194,6 +193,7 @@
                            const flow_key& key,
                            flow_location& location,
                            service_tag& service);
+    bool may_reject_overload(const flow_packet& packet) const;
     bool misses_aim(const route_table::entry& route, agent_index agent) const;
     dispatch_verdict reject_opening(const flow_packet& packet,
                                     const flow_location& location,
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -135,7 +135,8 @@
                               dispatch_event::refused_no_server);
     // The servers that are not overloaded have all been tried.
     location.force = location.force || agents_->overloaded(agent);
-    if (location.force && misses_aim(*route, agent))
+    if (location.force && may_reject_overload(packet) &&
+        misses_aim(*route, agent))
         return reject_opening(packet, location,
                               dispatch_event::refused_overloaded);
     const bool retried = !location.tried.empty();
@@ -176,6 +177,16 @@
     return agent;
 }
 
+/// Whether an opening that meets overload need not be forced on a server. An
+/// earlier copy of it may have been taken through another balancer. During the
+/// startup grace it is dropped instead: other servers are tracked by the time
+/// its next copy arrives.
+bool flow_dispatcher::may_reject_overload(const flow_packet& packet) const
+{
+    return packet.retransmission_count == 0 ||
+           !running_for(options_.startup_grace);
+}
+
 /// Whether a request on \a agent is expected to be answered too late for the
 /// route: its caller does better to try again than to wait.
 bool flow_dispatcher::misses_aim(const route_table::entry& route,
--- a/test/dispatch/overload_test.cpp
+++ b/test/dispatch/overload_test.cpp
@@ -23,7 +23,8 @@
     CPPUNIT_TEST(opening_is_forced_on_the_least_loaded_server);
     CPPUNIT_TEST(opening_that_would_miss_the_aim_is_rejected);
     CPPUNIT_TEST(opening_of_a_route_without_aim_is_not_rejected);
-    CPPUNIT_TEST(opening_that_a_server_may_have_taken_is_not_rejected);
+    CPPUNIT_TEST(later_copy_of_an_opening_is_not_rejected);
+    CPPUNIT_TEST(recently_started_balancer_rejects_no_overload);
     CPPUNIT_TEST(load_in_a_heartbeat_does_not_replace_a_newer_one);
     CPPUNIT_TEST(server_that_returned_an_opening_may_have_the_flow);
     CPPUNIT_TEST(late_copy_of_an_opening_does_not_hide_its_server);
@@ -135,16 +136,27 @@
                        forward_mode::opening_forced);
     }
 
-    void opening_that_a_server_may_have_taken_is_not_rejected()
+    /// A server may have taken an earlier copy through another balancer.
+    void later_copy_of_an_opening_is_not_rejected()
     {
-        start(2, 300ms);
-        dispatcher_.on_caller_packet(opening());
-        clock_.advance(200ms);
-        flow_packet again = opening();
-        again.retransmission_count = 1;
-        // The first server has not responded.
-        const dispatch_verdict v =
-            return_busy(dispatcher_.on_caller_packet(again), 9);
+        start(1, 300ms);
+        flow_packet copy = opening();
+        copy.retransmission_count = 1;
+        const dispatch_verdict asked = dispatcher_.on_caller_packet(copy);
+        const dispatch_verdict v = dispatcher_.on_returned_packet(
+            copy, agents_.at(asked.agent).status.relay_address,
+            {return_reason::busy, 9});
+        CPPUNIT_ASSERT(v.info.mode == forward_mode::opening_forced);
+    }
+
+    void recently_started_balancer_rejects_no_overload()
+    {
+        start(1, 300ms);
+        flow_dispatcher recent(clock_, flow_dispatcher::options{}, routes_,
+                               agents_, place_by_load());
+        recent.on_caller_packet(opening());
+        const dispatch_verdict v = recent.on_returned_packet(
+            opening(), agent(0), {return_reason::busy, 9});
         CPPUNIT_ASSERT(v.decision == dispatch_verdict::action::drop);
     }
 
