A balancer that was paused resets nothing before it has heard of its agents

Packets of callers that wait in the socket when a balancer wakes may be read before the agents' heartbeats. Every agent then seems to have timed out for longer than it may come back, so that a search asks nobody, counts as conclusive and resets an open flow; an opening is rejected as if no server were there.

Change: a balancer that has neither received a packet nor run its periodic check (each 0.5 s) for more than a second takes itself to have just started: nothing is reset or rejected until the usual delays have passed.

Not covered: a machine that is suspended with its clock, since std::chrono's steady clock stands still then.

The simulated network runs the periodic check as the program does.

--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -108,6 +108,10 @@
         /// No packet that may belong to a flow is reset earlier than this after
         /// the start; by then peers have reported the agents that they track.
         duration reset_grace = std::chrono::seconds(1);
+        /// A balancer that has done nothing for longer than this was paused,
+        /// and its records are outdated: all limits above count from then on.
+        /// \ref expire is called more often.
+        duration pause_limit = std::chrono::seconds(1);
         /// A server that does not respond to a search for this long is skipped.
         duration search_timeout = std::chrono::milliseconds(120);
         /// An opening without an answer for this long goes to another server.
@@ -158,7 +162,8 @@
     /// \brief Records that the server of the agent at \a from has the flow.
     void on_flow_held(const flow_key& key, const endpoint& from);
 
-    /// \brief Removes idle flows; to be called periodically.
+    /// \brief Removes idle flows; to be called at least twice in each
+    /// options::pause_limit.
     void expire();
 
     const counter_set<dispatch_event>& counters() const { return counters_; }
@@ -176,7 +181,6 @@
         on_found;
 
 private:
-    dispatch_verdict on_opening(const flow_packet& packet);
     /// Servers among which one is chosen for a new flow.
     enum class candidate_set : std::uint8_t
     {
@@ -184,6 +188,8 @@
         last_resort ///< Those that are reported as server_state::silent.
     };
 
+    void detect_pause();
+    dispatch_verdict on_opening(const flow_packet& packet);
     dispatch_verdict on_returned_opening(const flow_packet& packet,
                                          flow_location& location,
                                          agent_index from,
@@ -241,7 +247,8 @@
     placement_policy policy_;
     flow_locator flows_;
     counter_set<dispatch_event> counters_;
-    time_point started_;
+    time_point started_;     ///< Start, or end of the last pause.
+    time_point last_active_; ///< Last packet, message or periodic check.
     /// Reused by choose_of_service.
     std::vector<placement_candidate> candidates_;
 };
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -58,12 +58,23 @@
                                  agent_directory& agents,
                                  placement_policy policy)
     : clock_(&c), options_(std::move(opts)), routes_(&routes), agents_(&agents),
-      policy_(std::move(policy)), started_(c.now())
+      policy_(std::move(policy)), started_(c.now()), last_active_(c.now())
 {
 }
 
+/// After a pause every agent seems to have timed out, although its heartbeats
+/// wait to be read; so the balancer knows as little as after a start.
+void flow_dispatcher::detect_pause()
+{
+    const time_point now = clock_->now();
+    if (now - last_active_ > options_.pause_limit)
+        started_ = now;
+    last_active_ = now;
+}
+
 dispatch_verdict flow_dispatcher::on_caller_packet(const flow_packet& packet)
 {
+    detect_pause();
     if (routes_->version() == 0)
         return drop(dispatch_event::dropped_no_routes);
     if (routes_->find(destination_of(packet.key)) == nullptr)
@@ -314,6 +325,7 @@
                                                      const endpoint& from,
                                                      return_info info)
 {
+    detect_pause();
     if (routes_->find(destination_of(packet.key)) == nullptr)
         return report(packet, on_missing_route(packet));
     const agent_index agent = agents_->find(from);
@@ -373,6 +385,7 @@
 
 void flow_dispatcher::expire()
 {
+    detect_pause();
     flows_.expire(clock_->now(), options_.idle_timeout);
 }
 
--- a/test/dispatch/flow_dispatcher_test.cpp
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -46,6 +46,8 @@
     CPPUNIT_TEST(load_spreads_over_many_servers);
     CPPUNIT_TEST(servers_with_a_recent_negative_response_are_not_queried);
     CPPUNIT_TEST(reused_port_is_searched_for_on_all_servers);
+    CPPUNIT_TEST(paused_balancer_resets_no_open_flow);
+    CPPUNIT_TEST(paused_balancer_rejects_no_opening);
     CPPUNIT_TEST(flows_survive_generated_schedules);
     CPPUNIT_TEST_SUITE_END();
 
@@ -522,6 +524,31 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t(1), network_.caller(c).accepted);
     }
 
+    /// The agents' heartbeats of the time of the pause are read only after the
+    /// packets of callers.
+    void paused_balancer_resets_no_open_flow()
+    {
+        start(3, 2);
+        network_.open(0, 1);
+        network_.pause_balancers(6s);
+        network_.send(1, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), network_.caller(1).resets);
+        network_.advance(600ms);
+        network_.send(1, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), network_.caller(1).answers);
+    }
+
+    void paused_balancer_rejects_no_opening()
+    {
+        start(3, 1);
+        network_.pause_balancers(6s);
+        network_.open(0, 1);
+        network_.send_heartbeats();
+        network_.open(0, 1, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), network_.caller(1).resets_allowed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), network_.caller(1).accepted);
+    }
+
     /// Performs one operation of a generated schedule.
     static void step(dispatch_network& network,
                      int operation,
--- a/test/dispatch/overload_test.cpp
+++ b/test/dispatch/overload_test.cpp
@@ -68,7 +68,11 @@
         routes.routes = {{host_endpoint(250, 80), {{service, 1}}, aim}};
         routes_.apply(routes);
         send_heartbeats(servers, 1);
-        clock_.advance(2s);
+        for (int i = 0; i < 4; ++i)
+        {
+            clock_.advance(500ms);
+            dispatcher_.expire();
+        }
         send_heartbeats(servers, 2);
     }
 
--- a/test/support/dispatch_world.cpp
+++ b/test/support/dispatch_world.cpp
@@ -129,8 +129,27 @@
         deliver_heartbeat(status);
     }
     exchange_agent_lists();
+    check_balancers();
+}
+
+void dispatch_network::check_balancers()
+{
     for (auto& b : balancers_)
+    {
         b->agents->check();
+        b->dispatcher->expire();
+    }
+}
+
+void dispatch_network::advance_without_heartbeats(duration d)
+{
+    while (d > duration(0))
+    {
+        const duration step = std::min(d, heartbeat_interval);
+        clock_.advance(step);
+        d -= step;
+        check_balancers();
+    }
 }
 
 void dispatch_network::deliver_heartbeat(const agent_status& status)
--- a/test/support/dispatch_world.hpp
+++ b/test/support/dispatch_world.hpp
@@ -76,7 +76,9 @@
     /// Advances the clock, with heartbeats at their usual interval.
     void advance(duration d);
     /// Advances the clock without heartbeats.
-    void advance_without_heartbeats(duration d) { clock_.advance(d); }
+    void advance_without_heartbeats(duration d);
+    /// Advances the clock while all balancers are paused.
+    void pause_balancers(duration d) { clock_.advance(d); }
 
     /// Sends a packet of the caller with port \a caller through balancer \a
     /// balancer_index.
@@ -140,6 +142,7 @@
                      std::uint32_t tag);
     void make_agent(simulated_server& node, std::uint64_t born_ms);
     void exchange_agent_lists();
+    void check_balancers();
     bool receives(std::size_t balancer_index, const endpoint& relay) const;
     /// Whether a reset of the flow is correct: the flow is lost; or its agent
     /// stopped without notice, and no running balancer has a record of the
--- a/test/support/load_model.cpp
+++ b/test/support/load_model.cpp
@@ -96,7 +96,10 @@
                   [this, status]
                   {
                       for (balancer& b : balancers_)
+                      {
                           b.agents->on_heartbeat(status);
+                          b.dispatcher->expire();
+                      }
                   });
     events_.after(heartbeat_s, [this, i] { send_heartbeat(i); });
 }
