--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -50,7 +50,7 @@
     {
         drop,
         deliver,       ///< Deliver it to the server, with \ref tag.
-        return_packet, ///< Return it to \ref balancer, with \ref reason.
+        return_packet, ///< Return it to \ref balancer, with \ref returned.
         answer,        ///< Send it to the caller.
         reset          ///< Send a reset to the caller, with \ref sequence.
     };
