Read once more: no allocation for an opening, no count for a packet that is no reset

The predicate that picks established servers held a copy of another one, too large for std::function's own buffer, so that each opening allocated; and every packet of a server without payload, while a request was in progress, counted the latest openings, though only a reset needs it.

Change: a reference, and the check of the packet's kind first. A doc comment is wrapped again. Behaviour stays as it is.

--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -69,10 +69,10 @@
 /// The agent runs beside its server, so outdated records of balancers do no
 /// harm here: it rejects openings for another service, and openings while the
 /// server drains, has stopped, has timed out or fails its requests (see
-/// \ref outlier_ejection). Packets of flows always pass,
-/// since the server is the authority on its flows. The agent's own records of
-/// flows serve its load gauge and notify balancers of the location of a flow;
-/// losing them breaks nothing.
+/// \ref outlier_ejection). Packets of flows always pass, since the server is
+/// the authority on its flows. The agent's own records of flows serve its load
+/// gauge and notify balancers of the location of a flow; losing them breaks
+/// nothing.
 class server_gate
 {
 public:
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -254,7 +254,7 @@
 {
     const auto ready = [this, service](agent_index i)
     { return agents_->takes_flows(i, service); };
-    const auto established = [this, ready](agent_index i)
+    const auto established = [this, &ready](agent_index i)
     { return ready(i) && agents_->established(i); };
     const auto unavailable = [this, service](agent_index i)
     { return agents_->is_last_resort(i, service); };
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -225,10 +225,11 @@
         return;
     if (packet.payload_size > 0)
         return ejection_.record_success();
+    if (packet.kind != packet_kind::reset)
+        return;
     const bool expected =
         overloaded() || server_->state() != server_state::ready;
-    if (packet.kind == packet_kind::reset && !expected &&
-        ejection_.record_failure() && on_ejected)
+    if (!expected && ejection_.record_failure() && on_ejected)
         on_ejected();
 }
 
