--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -468,11 +468,15 @@
         seq = flow["next"]
         flow["next"] = (seq + len(answer)) & 0xFFFFFFFF
         flow["unacked"] = seq
+        flags = ACK
+        if b"Connection: close" in data:  # The target closes first.
+            flags |= FIN
+            flow["next"] = (flow["next"] + 1) & 0xFFFFFFFF
         wait = 0.2
         for _ in range(9):
             if self.flows.get(key) is not flow or flow["unacked"] != seq:
                 return
-            self.send(key, ACK, seq, flow["want"], answer)
+            self.send(key, flags, seq, flow["want"], answer)
             await asyncio.sleep(wait)
             wait = min(1.6, wait * 2)
 
@@ -553,6 +557,7 @@
         self.want = 0
         self.open = False
         self.reset = None  # "target" or "system".
+        self.closed = False  # Both ends have sent a FIN.
         self.wake = asyncio.Event()
         self.answer = None
 
@@ -584,10 +589,12 @@
                 break
         return self.open and self.reset is None
 
-    async def request(self, ident, deadline):
-        """Sends a request; returns its answer, or None."""
+    async def request(self, ident, deadline, last=False):
+        """Sends a request; returns its answer, or None. \a last: the target
+        closes the flow with its answer."""
         end = time.monotonic() + deadline
-        data = f"GET / HTTP/1.1\r\nHost: x\r\nRequest-Id: {ident}\r\n\r\n".encode()
+        close = "Connection: close\r\n" if last else ""
+        data = f"GET / HTTP/1.1\r\nHost: x\r\nRequest-Id: {ident}\r\n{close}\r\n".encode()
         seq = self.next
         self.next = (seq + len(data)) & 0xFFFFFFFF
         self.answer = None
@@ -601,7 +608,7 @@
         return self.answer
 
     def close(self):
-        if self.open and self.reset is None:
+        if self.open and self.reset is None and not self.closed:
             self.send(FIN | ACK, self.next, self.want)
 
     def on_packet(self, p):
@@ -618,7 +625,10 @@
             if p.seq == self.want:
                 self.want = (p.seq + len(p.data)) & 0xFFFFFFFF
                 self.answer = p.data
-            self.send(ACK, self.next, self.want)
+                if p.flags & FIN:
+                    self.want = (self.want + 1) & 0xFFFFFFFF
+                    self.closed = True
+            self.send(ACK | (FIN if self.closed else 0), self.next, self.want)
         self.wake.set()
 
 
@@ -637,10 +647,13 @@
             lambda: Socket(self.on_data), local_addr=(self.ip, self.world.ports["DatagramAddr"])
         )
 
-    def flow(self, route, node=None):
-        """A new flow from a new port; \a node: sent directly to that node."""
-        self.port += 1
-        flow = Flow(self, self.port, route, node)
+    def flow(self, route, node=None, sport=None):
+        """A new flow from a new port, or from \a sport again; \a node: sent
+        directly to that node."""
+        if sport is None:
+            self.port += 1
+            sport = self.port
+        flow = Flow(self, sport, route, node)
         self.flows[flow.key] = flow
         return flow
 
