An opening is placed by what its route allows now

An opening returned by a draining server was dropped as a late copy.

Change: copies of an opening are told from a new flow on the same port by their sequence number; a cached location is used for an opening only while the route allows the service of its agent.

--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -2,6 +2,7 @@
 #define BRIARFIELD_DISPATCH_FLOW_DISPATCHER_HPP
 
 #include "briarfield/core/counter_set.hpp"
+#include "briarfield/core/pause_detector.hpp"
 #include "briarfield/dispatch/agent_directory.hpp"
 #include "briarfield/dispatch/flow_locator.hpp"
 #include "briarfield/dispatch/placement.hpp"
@@ -188,12 +189,14 @@
         last_resort ///< Those that are reported as server_state::silent.
     };
 
-    void detect_pause();
     dispatch_verdict on_opening(const flow_packet& packet);
     dispatch_verdict on_returned_opening(const flow_packet& packet,
                                          flow_location& location,
                                          agent_index from,
                                          return_reason reason);
+    static bool is_other_flow(const flow_location& location,
+                              const flow_packet& packet);
+    bool route_allows(const flow_key& key, agent_index agent) const;
     dispatch_verdict place(const flow_packet& packet, flow_location& location);
     agent_index choose_for(const route_table::entry& route,
                            const flow_key& key,
@@ -238,7 +241,10 @@
     dispatch_verdict drop(dispatch_event event);
     dispatch_verdict report(const flow_packet& packet,
                             const dispatch_verdict& verdict);
-    bool running_for(duration needed) const;
+    bool running_for(duration needed) const
+    {
+        return pauses_.running_for() >= needed;
+    }
 
     const clock* clock_;
     options options_;
@@ -247,8 +253,10 @@
     placement_policy policy_;
     flow_locator flows_;
     counter_set<dispatch_event> counters_;
-    time_point started_;     ///< Start, or end of the last pause.
-    time_point last_active_; ///< Last packet, message or periodic check.
+    /// After a pause every agent seems to have timed out, although its
+    /// heartbeats wait to be read; so the balancer knows as little as after a
+    /// start.
+    pause_detector pauses_;
     /// Reused by choose_of_service.
     std::vector<placement_candidate> candidates_;
 };
--- a/include/briarfield/dispatch/flow_locator.hpp
+++ b/include/briarfield/dispatch/flow_locator.hpp
@@ -6,6 +6,7 @@
 #include "briarfield/flow/flow_table.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -31,9 +32,13 @@
     time_point last_packet{};     ///< When a packet of the flow last arrived.
     time_point first_failure{};   ///< When the first search failed.
     unsigned retransmission_count = 0; ///< Of the opening that was placed last.
-    unsigned failed_searches = 0;      ///< Unsuccessful searches.
-    time_point retry_at{};   ///< When a kept packet is dispatched again.
-    bool unanswered = false; ///< A server did not respond in this search.
+    /// Sequence number of the opening that was placed here; unset if this
+    /// balancer has placed none. Another one belongs to a later flow that uses
+    /// the same addresses and ports.
+    std::optional<std::uint32_t> opening_sequence;
+    unsigned failed_searches = 0; ///< Unsuccessful searches.
+    time_point retry_at{};        ///< When a kept packet is dispatched again.
+    bool unanswered = false;      ///< A server did not respond in this search.
     bool force = false; ///< Overloaded servers must accept the opening, too.
     /// The opening was sent to a server that is reported as unavailable.
     bool last_resort = false;
--- a/include/briarfield/dispatch/flow_packet.hpp
+++ b/include/briarfield/dispatch/flow_packet.hpp
@@ -38,6 +38,8 @@
     bool returned = false;
     unsigned retransmission_count = 0; ///< For openings.
     std::uint16_t payload_size = 0;    ///< Bytes.
+    /// Of the sender; all copies of an opening have the same one.
+    std::uint32_t sequence = 0;
     /// Next sequence number that the sender expects.
     std::uint32_t acknowledgment = 0;
     const_byte_span bytes; ///< The whole packet; valid while it is handled.
--- a/include/briarfield/dispatch/route_table.hpp
+++ b/include/briarfield/dispatch/route_table.hpp
@@ -68,6 +68,9 @@
         /// retransmission of its opening. \returns null if no weight is
         /// positive.
         const target* pick(std::uint64_t hash) const;
+
+        /// \brief Whether new flows may go to \a service.
+        bool allows(service_tag service) const;
     };
 
     /// \brief Puts \a routes in force unless they are not newer than the
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -58,23 +58,13 @@
                                  agent_directory& agents,
                                  placement_policy policy)
     : clock_(&c), options_(std::move(opts)), routes_(&routes), agents_(&agents),
-      policy_(std::move(policy)), started_(c.now()), last_active_(c.now())
+      policy_(std::move(policy)), pauses_(c, options_.pause_limit)
 {
 }
 
-/// After a pause every agent seems to have timed out, although its heartbeats
-/// wait to be read; so the balancer knows as little as after a start.
-void flow_dispatcher::detect_pause()
-{
-    const time_point now = clock_->now();
-    if (now - last_active_ > options_.pause_limit)
-        started_ = now;
-    last_active_ = now;
-}
-
 dispatch_verdict flow_dispatcher::on_caller_packet(const flow_packet& packet)
 {
-    detect_pause();
+    pauses_.check();
     if (routes_->version() == 0)
         return drop(dispatch_event::dropped_no_routes);
     if (routes_->find(destination_of(packet.key)) == nullptr)
@@ -110,13 +100,11 @@
     flow_location* cached = flows_.find(packet.key);
     if (cached == nullptr)
         return place(packet, flows_.insert(packet.key, now));
-    const bool searched_for = cached->state == location_state::searching ||
-                              cached->state == location_state::lost;
     // A caller that opens a flow has abandoned any earlier one on that port.
-    if (searched_for)
+    if (is_other_flow(*cached, packet))
         *cached = flow_location();
     cached->last_packet = now;
-    if (cached->agent == no_agent)
+    if (cached->agent == no_agent || !route_allows(packet.key, cached->agent))
         return place(packet, *cached);
     // A retransmission goes to the server chosen first, unless that server is
     // unresponsive.
@@ -133,6 +121,26 @@
     return place(packet, *cached);
 }
 
+/// Whether \a location belongs to an earlier flow with the same addresses and
+/// ports as the opening \a packet.
+bool flow_dispatcher::is_other_flow(const flow_location& location,
+                                    const flow_packet& packet)
+{
+    if (location.state == location_state::searching ||
+        location.state == location_state::lost)
+        return true;
+    if (location.opening_sequence)
+        return *location.opening_sequence != packet.sequence;
+    return packet.retransmission_count == 0;
+}
+
+/// Whether the flow's route allows new flows to the server of \a agent.
+bool flow_dispatcher::route_allows(const flow_key& key, agent_index agent) const
+{
+    const route_table::entry* route = routes_->find(destination_of(key));
+    return route != nullptr && route->allows(agents_->at(agent).tag);
+}
+
 dispatch_verdict flow_dispatcher::place(const flow_packet& packet,
                                         flow_location& location)
 {
@@ -155,6 +163,7 @@
     location.agent = agent;
     location.agent_chosen_at = clock_->now();
     location.retransmission_count = packet.retransmission_count;
+    location.opening_sequence = packet.sequence;
     agents_->record_placed(agent);
     return forward(retried ? dispatch_event::placed_again
                            : dispatch_event::placed,
@@ -325,7 +334,7 @@
                                                      const endpoint& from,
                                                      return_info info)
 {
-    detect_pause();
+    pauses_.check();
     if (routes_->find(destination_of(packet.key)) == nullptr)
         return report(packet, on_missing_route(packet));
     const agent_index agent = agents_->find(from);
@@ -354,12 +363,15 @@
     const bool placing = location.state == location_state::placed ||
                          (location.state == location_state::searching &&
                           location.agent == no_agent);
-    if (!placing)
+    const bool earlier_flow =
+        location.opening_sequence.value_or(packet.sequence) != packet.sequence;
+    if (!placing || earlier_flow)
         return drop(dispatch_event::dropped_settling);
     add_tried(location, from);
     if (reason == return_reason::busy && from != no_agent)
         location.overloaded.push_back(from);
-    if (location.agent != from && location.agent != no_agent)
+    if (location.agent != from && location.agent != no_agent &&
+        route_allows(packet.key, location.agent))
         return forward(
             dispatch_event::forwarded, location.agent,
             {opening_mode(location), agents_->at(location.agent).tag});
@@ -385,7 +397,7 @@
 
 void flow_dispatcher::expire()
 {
-    detect_pause();
+    pauses_.check();
     flows_.expire(clock_->now(), options_.idle_timeout);
 }
 
@@ -432,9 +444,4 @@
     return verdict;
 }
 
-bool flow_dispatcher::running_for(duration needed) const
-{
-    return clock_->now() - started_ >= needed;
-}
-
 } // namespace briarfield
--- a/src/dispatch/flow_search.cpp
+++ b/src/dispatch/flow_search.cpp
@@ -151,7 +151,7 @@
     const time_point now = clock_->now();
     if (packet.payload_size == 0 || location.retry_at > now)
         return duration(0);
-    const duration grace_left = options_.reset_grace - (now - started_);
+    const duration grace_left = options_.reset_grace - pauses_.running_for();
     const duration delay = std::max(options_.reset_delay, grace_left);
     location.retry_at = now + delay;
     return delay;
--- a/src/dispatch/route_table.cpp
+++ b/src/dispatch/route_table.cpp
@@ -1,5 +1,7 @@
 #include "briarfield/dispatch/route_table.hpp"
 
+#include <algorithm>
+
 namespace briarfield
 {
 
@@ -34,6 +36,13 @@
     return nullptr;
 }
 
+bool route_table::entry::allows(service_tag service) const
+{
+    return std::any_of(targets.begin(), targets.end(),
+                       [service](const target& t)
+                       { return t.service == service && t.weight > 0; });
+}
+
 bool route_table::apply(const route_set& routes)
 {
     if (routes.version <= version_)
--- a/test/dispatch/flow_dispatcher_test.cpp
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -37,6 +37,9 @@
     CPPUNIT_TEST(flow_of_an_unknown_route_is_not_reset);
     CPPUNIT_TEST(draining_server_gets_no_opening);
     CPPUNIT_TEST(reused_address_gets_no_opening_of_the_old_service);
+    CPPUNIT_TEST(reused_port_gets_a_service_of_the_route);
+    CPPUNIT_TEST(reused_port_is_not_bound_to_a_draining_server);
+    CPPUNIT_TEST(copy_of_an_opening_follows_a_changed_route);
     CPPUNIT_TEST(returned_packets_do_not_keep_a_crashed_server_alive);
     CPPUNIT_TEST(crashed_server_is_not_tried_for_each_opening);
     CPPUNIT_TEST(flows_spread_over_servers);
@@ -386,6 +389,55 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), network_.server(0).openings);
     }
 
+    /// The balancer sent the opening to the agent of the earlier flow, with
+    /// the tag of the service that had taken over the address meanwhile.
+    void reused_port_gets_a_service_of_the_route()
+    {
+        start(2, 1);
+        network_.open(0, 1);
+        const std::size_t first = network_.holder(1);
+        network_.replace_server(first, depot);
+        network_.advance(1s);
+        const std::size_t before = openings_of(depot);
+        network_.open(0, 1, 0, 2);
+        CPPUNIT_ASSERT_EQUAL(before, openings_of(depot));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), network_.caller(1).accepted);
+        CPPUNIT_ASSERT_EQUAL(1 - first, network_.holder(1));
+    }
+
+    /// The returned opening was taken for a late copy of the earlier one.
+    void reused_port_is_not_bound_to_a_draining_server()
+    {
+        start(2, 1);
+        network_.open(0, 1);
+        const std::size_t first = network_.holder(1);
+        network_.server(first).flows.clear();
+        server_heartbeat heartbeat =
+            network_.server(first).registration->latest();
+        heartbeat.sequence += 1;
+        heartbeat.draining = true;
+        CPPUNIT_ASSERT(
+            network_.server(first).registration->on_heartbeat(heartbeat));
+        network_.open(0, 1, 0, 2);
+        CPPUNIT_ASSERT_EQUAL(1 - first, network_.holder(1));
+    }
+
+    void copy_of_an_opening_follows_a_changed_route()
+    {
+        start(1, 1);
+        network_.add_server(depot);
+        network_.advance(1s);
+        network_.server(0).takes_openings = false;
+        network_.server(0).agent_up = false;
+        network_.open(0, 1);
+        network_.server(0).agent_up = true;
+        network_.server(0).takes_openings = true;
+        network_.set_routes(2, {{depot, 1}});
+        network_.open(0, 1, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), openings_of(datum));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), openings_of(depot));
+    }
+
     void crash(std::size_t server_index)
     {
         network_.server(server_index).crashed = true;
--- a/test/support/dispatch_world.cpp
+++ b/test/support/dispatch_world.cpp
@@ -129,6 +129,7 @@
         deliver_heartbeat(status);
     }
     exchange_agent_lists();
+    check_agents();
     check_balancers();
 }
 
@@ -148,10 +149,28 @@
         const duration step = std::min(d, heartbeat_interval);
         clock_.advance(step);
         d -= step;
+        check_agents();
         check_balancers();
     }
 }
 
+void dispatch_network::check_agents()
+{
+    for (auto& s : servers_)
+        s->gate->expire();
+}
+
+void dispatch_network::pause_balancers(duration d)
+{
+    while (d > duration(0))
+    {
+        const duration step = std::min(d, heartbeat_interval);
+        clock_.advance(step);
+        d -= step;
+        check_agents();
+    }
+}
+
 void dispatch_network::deliver_heartbeat(const agent_status& status)
 {
     for (std::size_t b = 0; b < balancers_.size(); ++b)
@@ -222,9 +241,11 @@
 
 void dispatch_network::open(std::size_t balancer_index,
                             std::uint16_t caller,
-                            unsigned retransmission_count)
+                            unsigned retransmission_count,
+                            std::uint32_t sequence)
 {
     flow_packet p = packet(caller, packet_kind::opening);
+    p.sequence = sequence;
     p.retransmission_count = retransmission_count;
     execute(balancer_index, p,
             balancers_[balancer_index]->dispatcher->on_caller_packet(p));
--- a/test/support/dispatch_world.hpp
+++ b/test/support/dispatch_world.hpp
@@ -78,13 +78,14 @@
     /// Advances the clock without heartbeats.
     void advance_without_heartbeats(duration d);
     /// Advances the clock while all balancers are paused.
-    void pause_balancers(duration d) { clock_.advance(d); }
+    void pause_balancers(duration d);
 
     /// Sends a packet of the caller with port \a caller through balancer \a
-    /// balancer_index.
+    /// balancer_index. Copies of one opening have the same \a sequence.
     void open(std::size_t balancer_index,
               std::uint16_t caller,
-              unsigned retransmission_count = 0);
+              unsigned retransmission_count = 0,
+              std::uint32_t sequence = 1);
     void send(std::size_t balancer_index, std::uint16_t caller);
 
     /// Delivers a heartbeat of an agent to every balancer.
@@ -142,6 +143,7 @@
                      std::uint32_t tag);
     void make_agent(simulated_server& node, std::uint64_t born_ms);
     void exchange_agent_lists();
+    void check_agents();
     void check_balancers();
     bool receives(std::size_t balancer_index, const endpoint& relay) const;
     /// Whether a reset of the flow is correct: the flow is lost; or its agent
