Heartbeats and leave messages are matched to the server beside the agent

Change: a server is gone only after it has reported a drain, and a newer heartbeat shows that it is not; the settings' service and address must match; what arrives within 0.2 s of a pause of more than 1 s shows nothing.

--- a/include/briarfield/dispatch/server_registration.hpp
+++ b/include/briarfield/dispatch/server_registration.hpp
@@ -2,9 +2,12 @@
 #define BRIARFIELD_DISPATCH_SERVER_REGISTRATION_HPP
 
 #include "briarfield/core/clock.hpp"
+#include "briarfield/core/endpoint.hpp"
 #include "briarfield/core/error.hpp"
+#include "briarfield/core/pause_detector.hpp"
 #include "briarfield/dispatch/agent_directory.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -22,6 +25,7 @@
     /// Increases with each heartbeat of an incarnation.
     std::uint64_t sequence = 0;
     std::string service;
+    endpoint address; ///< Where the server receives packets.
     std::string zone;
     std::uint32_t slots = 1;     ///< Requests that it processes concurrently.
     std::uint32_t warmup_ms = 0; ///< Time from this heartbeat until full speed.
@@ -31,30 +35,50 @@
 /// \brief What an agent has recorded of the server beside it.
 ///
 /// The latest incarnation of the server counts, by its start time: a delayed
-/// heartbeat that arrives after a new incarnation has started is rejected.
-/// Before the first heartbeat the service is the one in the settings.
+/// heartbeat that arrives after a new incarnation has started is rejected. The
+/// settings name the service and the address of the server, so a heartbeat of
+/// another service or address is not its own.
 class server_registration
 {
 public:
+    /// \brief Longest time between two events that is no pause of the agent.
+    static constexpr duration pause_limit = std::chrono::seconds(1);
+
+    /// \brief What arrives this soon after a pause may have been sent before
+    /// its end, and does not show that the server is running.
+    static constexpr duration settle_time = std::chrono::milliseconds(200);
+
     /// \param silence_limit Time without a packet from the server after which
     /// it has timed out; from then on its address may serve another service.
+    /// \param address Where the server receives packets; if its port is 0,
+    /// heartbeats may name any address.
     server_registration(const clock& c,
                         std::string service,
-                        duration silence_limit);
+                        duration silence_limit,
+                        const endpoint& address = {});
 
     /// \brief Records a heartbeat.
     ///
     /// Errors: errc::message_stale for a heartbeat of an earlier incarnation,
-    /// or one that is not newer than the last.
+    /// of another service or address, or one that is not newer than the last.
     result<void> on_heartbeat(const server_heartbeat& heartbeat);
 
     /// \brief Records that the server stops.
     ///
-    /// Errors: errc::message_stale for an incarnation other than the latest.
+    /// A leave message carries no start time, so it may be a late one of an
+    /// earlier incarnation with the same id. Only a server that has reported a
+    /// drain is gone; another one is taken to drain until its next heartbeat.
+    ///
+    /// Errors: errc::message_stale for an id other than the latest.
     result<void> on_leave(const std::string& id);
 
-    /// \brief Records a packet from the server, which shows that it is running.
-    void record_activity() { last_activity_ = clock_->now(); }
+    /// \brief Records a packet from the server, which shows that it is running,
+    /// unless it waited during a pause of the agent.
+    void record_activity();
+
+    /// \brief To be called for each packet and several times a second, so that
+    /// a pause of the agent is detected.
+    void detect_pause() { pauses_.check(); }
 
     /// \brief Applies the service in the settings, if it has changed there.
     void set_configured_service(const std::string& service);
@@ -89,10 +113,13 @@
 
 private:
     bool is_older_incarnation(const server_heartbeat& heartbeat) const;
+    bool concerns_server(const server_heartbeat& heartbeat) const;
     void notify_change();
 
     const clock* clock_;
     duration silence_limit_;
+    endpoint address_;
+    pause_detector pauses_;
     std::string configured_service_;
     server_heartbeat latest_;
     server_state state_ = server_state::unknown;
--- a/src/dispatch/agent_directory.cpp
+++ b/src/dispatch/agent_directory.cpp
@@ -122,7 +122,9 @@
 bool agent_directory::may_hold_flows(agent_index i) const
 {
     const record& agent = records_[i];
-    if (agent.status.state == server_state::gone)
+    // An agent that runs returns the packets of a server that is gone.
+    if (agent.status.state == server_state::gone &&
+        (agent.status.restarting || !alive(i)))
         return false;
     // Its server has sent no heartbeat to it: there are no flows to wait for.
     if (agent.status.state == server_state::unknown && !alive(i))
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -39,6 +39,7 @@
                                              forward_info info,
                                              const endpoint& from)
 {
+    server_->detect_pause();
     const bool opening = packet.kind == packet_kind::opening;
     if (opening && info.service != server_->tag())
         return reject(packet, from, gate_event::refused_service,
@@ -391,6 +392,7 @@
 
 void server_gate::expire()
 {
+    server_->detect_pause();
     const time_point now = clock_->now();
     std::vector<flow_key> idle;
     for (auto& [key, record] : flows_)
--- a/src/dispatch/server_registration.cpp
+++ b/src/dispatch/server_registration.cpp
@@ -5,10 +5,11 @@
 
 server_registration::server_registration(const clock& c,
                                          std::string service,
-                                         duration silence_limit)
-    : clock_(&c), silence_limit_(silence_limit),
-      configured_service_(std::move(service)), last_activity_(c.now()),
-      last_heartbeat_(c.now())
+                                         duration silence_limit,
+                                         const endpoint& address)
+    : clock_(&c), silence_limit_(silence_limit), address_(address),
+      pauses_(c, pause_limit), configured_service_(std::move(service)),
+      last_activity_(c.now()), last_heartbeat_(c.now())
 {
     latest_.service = configured_service_;
     tag_ = make_service_tag(latest_.service);
@@ -21,15 +22,32 @@
         return false;
     if (heartbeat.born_ms != latest_.born_ms)
         return heartbeat.born_ms < latest_.born_ms;
-    if (heartbeat.id != latest_.id)
-        return false;
-    return state_ == server_state::gone ||
-           heartbeat.sequence <= latest_.sequence;
+    return heartbeat.id == latest_.id && heartbeat.sequence <= latest_.sequence;
+}
+
+/// Whether the heartbeat names the service and address in the settings.
+bool server_registration::concerns_server(
+    const server_heartbeat& heartbeat) const
+{
+    const bool other_address =
+        address_.port != 0 && heartbeat.address != address_;
+    return heartbeat.service == configured_service_ && !other_address;
+}
+
+void server_registration::record_activity()
+{
+    pauses_.check();
+    if (!pauses_.paused() || pauses_.running_for() >= settle_time)
+        last_activity_ = clock_->now();
 }
 
 result<void>
 server_registration::on_heartbeat(const server_heartbeat& heartbeat)
 {
+    if (!concerns_server(heartbeat))
+        return fail(errc::message_stale, "heartbeat of " + heartbeat.service +
+                                             " at " +
+                                             heartbeat.address.to_string());
     if (is_older_incarnation(heartbeat))
         return fail(errc::message_stale,
                     "heartbeat " + std::to_string(heartbeat.sequence) + " of " +
@@ -42,8 +60,8 @@
     latest_ = heartbeat;
     state_ = state;
     tag_ = make_service_tag(heartbeat.service);
-    last_activity_ = clock_->now();
-    last_heartbeat_ = last_activity_;
+    last_heartbeat_ = clock_->now();
+    record_activity();
     if (changed)
         notify_change();
     return ok();
@@ -54,9 +72,12 @@
     if (state_ != server_state::unknown && id != latest_.id)
         return fail(errc::message_stale, "leave message of " + id);
     latest_.id = id;
-    if (state_ == server_state::gone)
+    const bool drained = state_ == server_state::gone || latest_.draining;
+    const server_state state =
+        drained ? server_state::gone : server_state::draining;
+    if (state == state_)
         return ok();
-    state_ = server_state::gone;
+    state_ = state;
     notify_change();
     return ok();
 }
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -39,9 +39,10 @@
                          packet_codec codec,
                          random_source& random)
     : loop_(&loop), options_(options), codec_(std::move(codec)),
-      random_(&random),
-      server_(
-          loop.timers().time_source(), options.service, options.silence_limit),
+      random_(&random), server_(loop.timers().time_source(),
+                                options.service,
+                                options.silence_limit,
+                                options.server),
       gate_(loop.timers().time_source(), server_),
       balancers_(loop.timers().time_source()), incarnation_(random.next())
 {
--- a/test/dispatch/server_gate_test.cpp
+++ b/test/dispatch/server_gate_test.cpp
@@ -45,6 +45,8 @@
     void setUp() override
     {
         clock_.advance(1h);
+        server_.detect_pause();
+        clock_.advance(server_registration::settle_time);
         server_heartbeat heartbeat;
         heartbeat.id = "i";
         heartbeat.born_ms = 1;
--- a/test/platform/records_test.cpp
+++ b/test/platform/records_test.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(start_time_is_read);
     CPPUNIT_TEST(malformed_heartbeats_are_rejected);
     CPPUNIT_TEST(unknown_fields_are_ignored);
+    CPPUNIT_TEST(deeply_nested_bodies_are_rejected);
+    CPPUNIT_TEST(numbers_out_of_range_are_rejected);
     CPPUNIT_TEST(routes_are_read);
     CPPUNIT_TEST(only_malformed_routes_are_omitted);
     CPPUNIT_TEST(malformed_configurations_are_rejected);
@@ -72,8 +74,9 @@
 
     void malformed_heartbeats_are_rejected()
     {
-        for (const char* field : {"Service", "Zone", "MaxConcurrency", "State",
-                                  "WarmupLeftMs", "Sequence"})
+        for (const char* field :
+             {"Service", "Address", "Zone", "MaxConcurrency", "State",
+              "WarmupLeftMs", "Sequence"})
         {
             json missing = heartbeat_example();
             missing.erase(field);
@@ -88,6 +91,14 @@
                                        !read_heartbeat(changed.dump(), "i-1"));
             }
         }
+        for (const char* address : {"", "10.128.0.9", "10.128.0.9:0",
+                                    "10.128.0.9:70000", "nowhere:8080"})
+        {
+            json changed = heartbeat_example();
+            changed["Address"] = address;
+            CPPUNIT_ASSERT_MESSAGE(address,
+                                   !read_heartbeat(changed.dump(), "i-1"));
+        }
         json state = heartbeat_example();
         state["State"] = "resting";
         CPPUNIT_ASSERT(!read_heartbeat(state.dump(), "i-1"));
@@ -102,6 +113,38 @@
         CPPUNIT_ASSERT(read_heartbeat(body.dump(), "i-1"));
     }
 
+    /// A recursive reader would exceed the stack.
+    void deeply_nested_bodies_are_rejected()
+    {
+        constexpr std::size_t depth = 1000000;
+        const std::string nested =
+            std::string(depth, '[') + std::string(depth, ']');
+        const std::string heartbeat = heartbeat_example().dump();
+        const std::string with_nested_field =
+            heartbeat.substr(0, heartbeat.size() - 1) + ",\"Mood\":" + nested +
+            "}";
+        CPPUNIT_ASSERT(!read_heartbeat(nested, "i-1"));
+        CPPUNIT_ASSERT(!read_heartbeat(with_nested_field, "i-1"));
+        std::size_t unreadable = 0;
+        CPPUNIT_ASSERT(!read_configuration(nested, unreadable));
+        CPPUNIT_ASSERT(!read_configuration(
+            "{\"Version\":1,\"Routes\":[" + nested + "]}", unreadable));
+    }
+
+    void numbers_out_of_range_are_rejected()
+    {
+        for (const char* field : {"MaxConcurrency", "WarmupLeftMs"})
+            for (const char* number :
+                 {"1e400", "18446744073709551616", "4294967296", "-1", "1e3"})
+            {
+                std::string body = heartbeat_example().dump();
+                const std::string key = "\"" + std::string(field) + "\":";
+                const std::size_t at = body.find(key) + key.size();
+                body.replace(at, body.find_first_of(",}", at) - at, number);
+                CPPUNIT_ASSERT_MESSAGE(body, !read_heartbeat(body, "i-1"));
+            }
+    }
+
     void routes_are_read()
     {
         json plain = route_example();
--- a/test/relay/relay_path_test.cpp
+++ b/test/relay/relay_path_test.cpp
@@ -217,6 +217,7 @@
         heartbeat.id = "i";
         heartbeat.sequence = 1;
         heartbeat.service = "a";
+        heartbeat.address = server_->local();
         heartbeat.draining = true;
         CPPUNIT_ASSERT(agent_->server().on_heartbeat(heartbeat));
         send_from_caller(packet_flags::syn, "");
@@ -256,6 +257,7 @@
         heartbeat.born_ms = born_ms;
         heartbeat.sequence = 1;
         heartbeat.service = "a";
+        heartbeat.address = server_->local();
         CPPUNIT_ASSERT(agent_->server().on_heartbeat(heartbeat));
     }
 
