A silent connection to the store is noticed within the configuration's bound

Change: every balancer watches for 60% of the bound in the settings and gives up at 72%, which leaves the rest for the read that follows: 2.2 of 3 s, 4.3 of 6 s. No balancer has a special duty any more. Cost in calls: 4 balancers make 2.2 instead of 1.3 watches a second, 59 make 16 instead of 10.

Test: change_is_read_within_the_bound_despite_a_silent_connection, for both bounds. It replaces watch_uses_the_requested_length, whose hook is gone.

--- a/include/briarfield/control/document_follower.hpp
+++ b/include/briarfield/control/document_follower.hpp
@@ -21,12 +21,25 @@
     std::optional<std::string> body; ///< Unset if unchanged or absent.
 };
 
+/// \brief Duration of a watch.
+struct watch_limits
+{
+    duration wait{};    ///< The store responds after this without a change.
+    duration timeout{}; ///< The watch fails without a response until then.
+
+    /// \brief Limits with which a change is read within \a bound although the
+    /// connection of the watch was lost without notice: the watch fails after
+    /// 72% of \a bound, and the rest is for the read that follows.
+    static watch_limits within(duration bound)
+    {
+        return {bound * 60 / 100, bound * 72 / 100};
+    }
+};
+
 /// \brief Delays of a \ref document_follower.
 struct document_follower_options
 {
-    /// Length of a watch; bounds the time until a connection that was lost
-    /// without notice is detected.
-    duration default_watch_length = std::chrono::seconds(3);
+    watch_limits watch = watch_limits::within(std::chrono::seconds(3));
     /// Delay of the read after a peer's notification; usually the watch of
     /// this process reports the change within it.
     duration peer_notification_delay = std::chrono::milliseconds(300);
@@ -48,7 +61,8 @@
     struct calls
     {
         std::function<void(handler)> read;
-        std::function<void(std::uint64_t revision, duration wait, handler)>
+        std::function<void(
+            std::uint64_t revision, const watch_limits&, handler)>
             watch;
     };
 
@@ -66,10 +80,6 @@
     /// options::peer_notification_delay, unless the watch reports it earlier.
     void on_peer_notification();
 
-    /// \brief Returns the length of the next watch; if unset,
-    /// options::default_watch_length is used.
-    std::function<duration()> watch_length;
-
     /// \brief Called with each body received by a read or a watch.
     std::function<void(const std::string&)> on_document;
 
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -62,13 +62,6 @@
     /// \brief What is missing while not \ref ready; empty when ready.
     std::string not_ready_reason() const;
 
-    /// \brief Whether this balancer should watch the routes with the short
-    /// timeout, to detect a broken watch early.
-    ///
-    /// True for the few balancers with the lowest relay addresses; their
-    /// notices report newer routes to the others.
-    bool use_short_watch();
-
     /// \brief Notifies all balancers and agents that this balancer stops.
     void leave();
 
--- a/src/app/settings_table.cpp
+++ b/src/app/settings_table.cpp
@@ -36,6 +36,12 @@
         .needed(balancer)
         .needed(relay_balancer)
         .doc("Object API of the platform."),
+    row("store", "config_bound", &settings::store_config_bound)
+        .by_default("3s")
+        .range("500ms", "5min")
+        .doc("Time within which a balancer of the relay applies a change of "
+             "the configuration, although its connection to the store was lost "
+             "without notice. Watches last 60% of it."),
 
     row("keys", "overlay", &settings::overlay_key_file)
         .is_secret()
--- a/src/control/document_follower.cpp
+++ b/src/control/document_follower.cpp
@@ -58,8 +58,7 @@
 {
     const std::uint64_t call = ++last_call_;
     store_.watch(
-        revision_,
-        watch_length ? watch_length() : options_.default_watch_length,
+        revision_, options_.watch,
         [this, call, alive = alive_](const result<document_state>& outcome)
         {
             if (*alive && call == last_call_)
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -23,10 +23,6 @@
 /// this interval if no heartbeat of it was received.
 constexpr duration hello_interval = 400ms;
 
-/// Balancers that watch the routes with the short timeout: one more than may
-/// fail at the same time without delaying new routes.
-constexpr std::ptrdiff_t short_watch_balancers = 2;
-
 /// Maximum packets kept for a second search, one for each flow not found.
 constexpr std::size_t max_kept_packets = 512;
 
@@ -394,15 +390,6 @@
                                             [this] { run_periodic_check(); });
 }
 
-bool relay_balancer::use_short_watch()
-{
-    const std::vector<endpoint> others = peers_.alive();
-    const auto lower_addresses = std::count_if(
-        others.begin(), others.end(),
-        [this](const endpoint& address) { return address < options_.relay; });
-    return lower_addresses < short_watch_balancers;
-}
-
 void relay_balancer::leave()
 {
     balancer_notice notice;
--- a/test/control/document_follower_test.cpp
+++ b/test/control/document_follower_test.cpp
@@ -17,7 +17,7 @@
     std::size_t reads = 0;
     std::size_t watches = 0;
     std::uint64_t watch_revision = 0;
-    duration watch_duration{};
+    watch_limits limits{};
 
     document_follower::calls calls()
     {
@@ -27,12 +27,12 @@
             ++reads;
             read = std::move(done);
         };
-        c.watch = [this](std::uint64_t revision, duration length,
+        c.watch = [this](std::uint64_t revision, const watch_limits& used,
                          document_follower::handler done)
         {
             ++watches;
             watch_revision = revision;
-            watch_duration = length;
+            limits = used;
             watch = std::move(done);
         };
         return c;
@@ -58,7 +58,7 @@
     CPPUNIT_TEST(outage_is_reported_once_and_retried);
     CPPUNIT_TEST(peer_notification_reads_if_the_watch_reports_nothing);
     CPPUNIT_TEST(peer_notification_needs_no_read_if_the_watch_reports_it);
-    CPPUNIT_TEST(watch_uses_the_requested_length);
+    CPPUNIT_TEST(change_is_read_within_the_bound_despite_a_silent_connection);
     CPPUNIT_TEST(late_response_to_an_earlier_call_is_ignored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -154,11 +154,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), store_.reads);
     }
 
-    void watch_uses_the_requested_length()
+    /// A connection that went silent was noticed after 7 s, with a bound of 3.
+    void change_is_read_within_the_bound_despite_a_silent_connection()
     {
-        follower_.watch_length = [] { return duration(12s); };
-        store_.read(scripted_store::state(10, "one"));
-        CPPUNIT_ASSERT(store_.watch_duration == 12s);
+        for (const duration bound : {duration(3s), duration(6s)})
+        {
+            scripted_store silent;
+            document_follower_options options;
+            options.watch = watch_limits::within(bound);
+            document_follower follower(timers_, random_, silent.calls(),
+                                       options);
+            follower.start();
+            silent.read(scripted_store::state(10, "one"));
+            CPPUNIT_ASSERT(silent.limits.wait < silent.limits.timeout);
+            const time_point change = clock_.now();
+            wait(silent.limits.timeout);
+            silent.watch(error{errc::store_timeout});
+            while (silent.reads == 1 && clock_.now() - change < bound)
+                wait(10ms);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), silent.reads);
+            CPPUNIT_ASSERT(clock_.now() - change < bound - bound / 10);
+        }
     }
 
     void late_response_to_an_earlier_call_is_ignored()
