An empty value in the settings leaves the default

A template is filled in with nothing where the platform gives no value; the configuration's bound is a number of ms so that it needs no unit beside the placeholder.

--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -131,6 +131,9 @@
         if (previous != lines_.end())
             value = print_value(*r, report_.values) + " " + value;
         lines_.emplace(path, line_);
+        // A template leaves a value empty if the platform does not give it.
+        if (value.empty() && !r->default_value.empty())
+            return;
         if (value.size() > quoted_text_limit &&
             !std::holds_alternative<std::vector<endpoint> settings::*>(
                 r->member))
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -34,7 +34,7 @@
     std::string instance_region;
 
     endpoint store_address;
-    duration store_config_bound{};
+    std::uint32_t store_config_bound_ms = 0;
     std::string overlay_key_file;
     std::string overlay_other_key_file;
     std::string control_key_file;
--- a/src/app/settings_table.cpp
+++ b/src/app/settings_table.cpp
@@ -36,10 +36,10 @@
         .needed(balancer)
         .needed(relay_balancer)
         .doc("Object API of the platform."),
-    row("store", "config_bound", &settings::store_config_bound)
-        .by_default("3s")
-        .range("500ms", "5min")
-        .doc("Time within which a balancer of the relay applies a change of "
+    row("store", "config_bound_ms", &settings::store_config_bound_ms)
+        .by_default("3000")
+        .range("500", "300000")
+        .doc("Time in ms within which a balancer of the relay applies a change of "
              "the configuration, although its connection to the store was lost "
              "without notice. Watches last 60% of it."),
 
--- a/test/app/settings_test.cpp
+++ b/test/app/settings_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST_SUITE(settings_test);
     CPPUNIT_TEST(rows_are_complete);
     CPPUNIT_TEST(values_and_defaults_are_read);
+    CPPUNIT_TEST(empty_value_leaves_the_default);
     CPPUNIT_TEST(effective_settings_parse_to_the_same_values);
     CPPUNIT_TEST(errors_state_file_line_key_found_and_expected);
     CPPUNIT_TEST(all_errors_are_reported);
@@ -91,6 +92,15 @@
         CPPUNIT_ASSERT_EQUAL(std::string("info"), r.values.log_level);
     }
 
+    /// Templates are filled in with nothing where the platform has no value.
+    void empty_value_leaves_the_default()
+    {
+        const settings_report r = parse("[store]\nconfig_bound_ms =\n");
+        CPPUNIT_ASSERT(r.errors.empty());
+        CPPUNIT_ASSERT_EQUAL(3000U, r.values.store_config_bound_ms);
+        CPPUNIT_ASSERT(!parse("[store]\naddress =\n").errors.empty());
+    }
+
     void effective_settings_parse_to_the_same_values()
     {
         const std::string text = effective_settings(parse(agent_text).values);
