--- a/include/briarfield/relay/relay_agent.hpp
+++ b/include/briarfield/relay/relay_agent.hpp
@@ -86,6 +86,13 @@
     /// \brief Adds balancers that are sent heartbeats from now on.
     void add_seeds(const std::vector<endpoint>& seeds);
 
+    /// \brief Whether no balancer is known to run.
+    bool awaits_balancers() const;
+
+    /// \brief Sends heartbeats to balancers that are recorded in the store; the
+    /// addresses may be outdated.
+    void try_balancers(const std::vector<endpoint>& addresses);
+
 private:
     relay_agent(event_loop& loop,
                 const relay_agent_options& options,
@@ -108,7 +115,6 @@
     void send_heartbeats();
     void send_status(const agent_status& status);
     void send_periodic_heartbeat();
-    bool awaits_balancers() const;
     void run_periodic_check();
 
     event_loop* loop_;
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -77,6 +77,16 @@
     /// \brief Adds balancers that are sent notices from now on.
     void add_seeds(const std::vector<endpoint>& seeds);
 
+    /// \brief Whether no other balancer is alive.
+    bool alone() { return peers_.alive().empty(); }
+
+    /// \brief Sends a notice to balancers that are recorded in the store; the
+    /// addresses may be outdated.
+    void try_balancers(const std::vector<endpoint>& addresses);
+
+    /// \brief Address that receives frames of agents and balancers.
+    const endpoint& relay_address() const { return options_.relay; }
+
 private:
     relay_balancer(event_loop& loop,
                    const relay_balancer_options& options,
--- a/include/briarfield/relay/relay_peers.hpp
+++ b/include/briarfield/relay/relay_peers.hpp
@@ -14,8 +14,8 @@
 /// \brief The balancers that a process has discovered, by relay address.
 ///
 /// Seeds come from the settings and are never removed. Other balancers are
-/// added when they send a notice or are reported by a peer, and removed when
-/// they time out.
+/// added when they send a notice, are reported by a peer or have a record in
+/// the store, and removed when they time out.
 class relay_peers
 {
 public:
@@ -36,8 +36,8 @@
     /// \brief Records a balancer that a peer reported; true if it is new.
     bool on_peer_reported(const endpoint& relay);
 
-    /// \brief Removes a balancer that sent a leave message; a seed stays, but
-    /// is no longer alive.
+    /// \brief Records a leave message: the balancer is no longer alive, but
+    /// stays an address to send to until it times out, since it may restart.
     void on_leave(const endpoint& relay);
 
     /// \brief All balancers to send messages to: the seeds, and those that sent
--- a/src/app/settings_table.cpp
+++ b/src/app/settings_table.cpp
@@ -39,7 +39,8 @@
     row("store", "config_bound_ms", &settings::store_config_bound_ms)
         .by_default("3000")
         .range("500", "300000")
-        .doc("Time in ms within which a balancer of the relay applies a change of "
+        .doc("Time in ms within which a balancer of the relay applies a change "
+             "of "
              "the configuration, although its connection to the store was lost "
              "without notice. Watches last 60% of it."),
 
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -56,6 +56,15 @@
         balancers_.add_seed(seed);
 }
 
+void relay_agent::try_balancers(const std::vector<endpoint>& addresses)
+{
+    bool is_new = false;
+    for (const endpoint& address : addresses)
+        is_new = balancers_.on_peer_reported(address) || is_new;
+    if (is_new)
+        send_heartbeats();
+}
+
 relay_agent::~relay_agent()
 {
     loop_->timers().cancel(heartbeat_timer_);
@@ -288,15 +297,14 @@
         return balancers_.on_leave(notice.relay);
     }
     last_notice_ = loop_->timers().now();
-    bool is_new = balancers_.on_notice(notice.relay, notice.incarnation);
+    const bool is_new = balancers_.on_notice(notice.relay, notice.incarnation);
     if (is_new)
         spdlog::info("event=balancer_heard balancer={}",
                      notice.relay.to_string());
     agent_count_ = std::max<std::size_t>(1, notice.agent_count);
-    for (const endpoint& other : notice.balancers)
-        is_new = balancers_.on_peer_reported(other) || is_new;
     if (is_new)
         send_heartbeats();
+    try_balancers(notice.balancers);
 }
 
 agent_status relay_agent::make_status()
@@ -341,7 +349,6 @@
                                                 { send_periodic_heartbeat(); });
 }
 
-/// Whether no balancer is known to run.
 bool relay_agent::awaits_balancers() const
 {
     return last_notice_ == time_point{} ||
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -78,6 +78,14 @@
             peers_.add_seed(seed);
 }
 
+void relay_balancer::try_balancers(const std::vector<endpoint>& addresses)
+{
+    for (const endpoint& address : addresses)
+        if (address != options_.relay && peers_.on_peer_reported(address))
+            send_notice(address, make_notice(true));
+    relay_->flush();
+}
+
 relay_balancer::~relay_balancer()
 {
     *alive_ = false;
@@ -320,9 +328,7 @@
         notice.agent_count == 0 && agents_.count_alive() > 0;
     if (is_new || lacks_agents)
         send_notice(notice.relay, make_notice(true));
-    for (const endpoint& other : notice.balancers)
-        if (other != options_.relay && peers_.on_peer_reported(other))
-            send_notice(other, make_notice(true));
+    try_balancers(notice.balancers);
     const time_point now = loop_->timers().now();
     for (const endpoint& agent : notice.agents)
     {
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -29,11 +29,8 @@
 void relay_peers::on_leave(const endpoint& relay)
 {
     const auto found = peers_.find(relay);
-    if (found == peers_.end())
-        return;
-    found->second.alive = false;
-    if (!found->second.seed)
-        peers_.erase(found);
+    if (found != peers_.end())
+        found->second.alive = false;
 }
 
 std::vector<endpoint> relay_peers::recipients()
