Searches go on without the caller, and agents answer at once

A query with a bare acknowledgment was never answered by the server, so the right one was passed over, too.

Change: the balancer keeps a copy of a packet that is searched with, queries a live agent twice within 120 ms, goes on by itself, and repeats an inconclusive search while the caller is sending. An agent that knows of the flow says so at once, whatever the server answers.

--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -38,6 +38,8 @@
     /// No server has the flow, but the search was inconclusive.
     dropped_not_found,
     dropped_reset, ///< A caller's reset of an unknown flow.
+    /// Copy of a packet, kept for a search that goes on without it.
+    dropped_kept,
     count_
 };
 
@@ -79,8 +81,9 @@
     std::size_t queried = 0;
     /// After an unsuccessful search.
     search_uncertainty uncertainty = search_uncertainty::none;
-    /// If positive, a dropped packet is to be dispatched again after this
-    /// delay: the flow is probably lost, and its caller should learn that soon.
+    /// If positive, a copy of the packet is to be passed to
+    /// \ref flow_dispatcher::on_kept_packet after this delay, so that the
+    /// search need not wait for the caller's retransmission.
     duration retry_after{};
 };
 
@@ -113,8 +116,15 @@
         /// and its records are outdated: all limits above count from then on.
         /// \ref expire is called more often.
         duration pause_limit = std::chrono::seconds(1);
-        /// A server that does not respond to a search for this long is skipped.
-        duration search_timeout = std::chrono::milliseconds(120);
+        /// A server that does not respond to a query for this long is queried
+        /// again or skipped.
+        duration search_timeout = std::chrono::milliseconds(60);
+        /// Queries to a server whose agent is alive, in one search; one of them
+        /// or its response may be lost.
+        unsigned max_queries = 2;
+        /// A search without a packet of the caller for this long is left to the
+        /// caller's next retransmission; those follow each other faster.
+        duration search_limit = std::chrono::seconds(2);
         /// An opening without an answer for this long goes to another server.
         duration opening_timeout = std::chrono::milliseconds(150);
         /// From this long after the start, all agents that have flows are
@@ -160,6 +170,10 @@
                                         const endpoint& from,
                                         return_info info);
 
+    /// \brief Continues the search for the flow of a kept packet; see
+    /// dispatch_verdict::retry_after. Drops the packet if the search has ended.
+    dispatch_verdict on_kept_packet(const flow_packet& packet);
+
     /// \brief Records that the server of the agent at \a from has the flow.
     void on_flow_held(const flow_key& key, const endpoint& from);
 
@@ -231,8 +245,10 @@
     dispatch_verdict fail_search(const flow_packet& packet,
                                  flow_location& location);
     search_uncertainty uncertainty_of(const flow_location& location) const;
-    duration schedule_retry(const flow_packet& packet,
-                            flow_location& location) const;
+    dispatch_verdict query(flow_location& location);
+    bool may_query_again(const flow_location& location) const;
+    duration keep_packet(flow_location& location, duration delay) const;
+    duration retry_delay() const;
     agent_index next_to_query(const flow_key& key,
                               const flow_location& location) const;
     dispatch_verdict
--- a/include/briarfield/dispatch/flow_locator.hpp
+++ b/include/briarfield/dispatch/flow_locator.hpp
@@ -37,6 +37,7 @@
     /// the same addresses and ports.
     std::optional<std::uint32_t> opening_sequence;
     unsigned failed_searches = 0; ///< Unsuccessful searches.
+    unsigned queries = 0;         ///< To \ref agent in this search.
     time_point retry_at{};        ///< When a kept packet is dispatched again.
     bool unanswered = false;      ///< A server did not respond in this search.
     bool force = false; ///< Overloaded servers must accept the opening, too.
--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -202,6 +202,7 @@
     void record_returned(const flow_key& key);
     gate_verdict end_flow(const flow_packet& packet);
     bool was_delivered(const flow_key& key) const;
+    bool may_have_flow(const flow_key& key) const;
     std::size_t expected_requests() const;
     bool overloaded() const;
     bool server_rejects_openings() const;
--- a/include/briarfield/relay/relay_agent.hpp
+++ b/include/briarfield/relay/relay_agent.hpp
@@ -107,6 +107,7 @@
     void on_server_datagram(byte_span datagram);
     void on_notice(const balancer_notice& notice);
     void return_packet(byte_span packet, const gate_verdict& verdict);
+    void notify_balancer(const endpoint& balancer, const flow_key& key);
     void on_server_change();
     void probe_server(const std::vector<short_packet>& probes);
     void send_probes();
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -107,7 +107,8 @@
     void apply_verdict(const dispatch_verdict& verdict,
                        byte_span packet,
                        const flow_packet& p);
-    void retry_search_later(byte_span packet, duration delay);
+    void keep_packet(byte_span packet, duration delay);
+    void on_kept_packet(byte_span packet);
     balancer_notice make_notice(bool with_agents);
     void send_notice(const endpoint& to, const balancer_notice& notice);
     void send_notices();
@@ -127,7 +128,7 @@
     std::size_t next_listed_agent_ = 0;    ///< First one in the next notice.
     std::uint64_t malformed_ = 0;
     std::uint64_t incarnation_;
-    std::size_t packets_kept_ = 0; ///< Packets that wait for a second search.
+    std::size_t packets_kept_ = 0; ///< Packets that continue searches.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     timer_id notice_timer_ = 0;
     timer_id check_timer_ = 0;
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -24,7 +24,8 @@
                                             "dropped_no_routes",
                                             "dropped_settling",
                                             "dropped_not_found",
-                                            "dropped_reset"};
+                                            "dropped_reset",
+                                            "dropped_kept"};
 static_assert(std::size(event_names) ==
               static_cast<std::size_t>(dispatch_event::count_));
 
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -61,10 +61,18 @@
                       return_reason::busy);
     if (opening)
         record_delivered_opening();
+    const bool has_flow =
+        info.mode == forward_mode::search && may_have_flow(packet.key);
     const std::uint16_t balancer = position_of(from);
     record_packet(packet, info.mode, balancer);
     gate_verdict verdict;
     verdict.decision = gate_verdict::action::deliver;
+    if (has_flow)
+    {
+        flows_[packet.key].balancer_notified = true;
+        verdict.notify_balancer = true;
+        verdict.balancer = from;
+    }
     verdict.event = opening ? gate_event::offered : gate_event::delivered;
     verdict.tag = first_tag + balancer;
     counters_.add(verdict.event);
@@ -79,6 +87,16 @@
     return found != flows_.end() && !found->second.closed;
 }
 
+/// Whether the server has taken the flow, as far as the agent knows. A balancer
+/// that searches is told at once, since the server need not answer the packet;
+/// if the server has lost the flow, it returns the packet.
+bool server_gate::may_have_flow(const flow_key& key) const
+{
+    const auto found = flows_.find(key);
+    return found != flows_.end() &&
+           (found->second.open || found->second.closed);
+}
+
 /// Requests in progress, and those expected from the latest openings.
 std::size_t server_gate::expected_requests() const
 {
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -169,6 +169,15 @@
         return;
     codec_.put_tag(body, verdict.tag);
     from_server_->queue(options_.server, body);
+    if (verdict.notify_balancer)
+        notify_balancer(verdict.balancer, p.value().key);
+}
+
+/// Tells a balancer that the server has a flow.
+void relay_agent::notify_balancer(const endpoint& balancer, const flow_key& key)
+{
+    const flow_held_message message{key, options_.relay};
+    relay_->queue_copy(balancer, bytes_of(message_frame(message)));
 }
 
 void relay_agent::on_server_batch(const udp_socket::datagram* batch,
@@ -205,9 +214,7 @@
         return;
     relay_->queue({p.value().key.source, options_.caller_port}, datagram);
     if (verdict.notify_balancer)
-        relay_->queue_copy(verdict.balancer,
-                           bytes_of(message_frame(flow_held_message{
-                               p.value().key, options_.relay})));
+        notify_balancer(verdict.balancer, p.value().key);
 }
 
 void relay_agent::return_packet(byte_span packet, const gate_verdict& verdict)
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -23,7 +23,8 @@
 /// this interval if no heartbeat of it was received.
 constexpr duration hello_interval = 400ms;
 
-/// Maximum packets kept for a second search, one for each flow not found.
+/// Maximum packets kept to continue searches, one for each flow; with their
+/// payload they take less than 1 MB.
 constexpr std::size_t max_kept_packets = 512;
 
 /// Returns the next addresses of \a all that fit a notice; \a cursor advances
@@ -248,11 +249,11 @@
                                    byte_span packet,
                                    const flow_packet& p)
 {
+    if (verdict.retry_after > duration(0))
+        keep_packet(packet, verdict.retry_after);
     switch (verdict.decision)
     {
     case dispatch_verdict::action::drop:
-        if (verdict.retry_after > duration(0))
-            retry_search_later(packet, verdict.retry_after);
         return;
     case dispatch_verdict::action::forward:
         relay_->queue(agents_.at(verdict.agent).status.relay_address,
@@ -266,7 +267,7 @@
     }
 }
 
-void relay_balancer::retry_search_later(byte_span packet, duration delay)
+void relay_balancer::keep_packet(byte_span packet, duration delay)
 {
     if (packets_kept_ == max_kept_packets)
         return;
@@ -280,13 +281,20 @@
             if (!*alive)
                 return;
             --packets_kept_;
-            on_caller_datagram(byte_span(copy.data(), copy.size())
-                                   .drop_front(relay_frame_overhead));
+            on_kept_packet(byte_span(copy.data(), copy.size())
+                               .drop_front(relay_frame_overhead));
             relay_->flush();
             callers_->flush();
         });
 }
 
+void relay_balancer::on_kept_packet(byte_span packet)
+{
+    const auto p = codec_.decode_caller(packet);
+    if (p)
+        apply_verdict(dispatcher_.on_kept_packet(p.value()), packet, p.value());
+}
+
 void relay_balancer::on_message(const relay_frame& frame)
 {
     const auto message = decode_dispatch_message(text_of(frame.body));
