Notices go to a few agents and carry lists to a few balancers

Cause: each balancer sent each second a notice with up to 80 addresses to every other balancer, and one with 40 to every agent: traffic that grows as the product of machines.

Change: notice_plan. An agent gets notices from 4 balancers, the lists go to 4 balancers a round, and the others get a notice of some 50 bytes. A balancer that has missed three notices has no part; reports of peers keep an address, and never keep a balancer alive. Up to four balancers nothing changes.

--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -6,6 +6,7 @@
 #include "briarfield/dispatch/relay_frame.hpp"
 #include "briarfield/net/event_loop.hpp"
 #include "briarfield/net/udp_socket.hpp"
+#include "briarfield/relay/notice_plan.hpp"
 #include "briarfield/relay/relay_peers.hpp"
 
 #include <chrono>
@@ -109,9 +110,19 @@
                        const flow_packet& p);
     void keep_packet(byte_span packet, duration delay);
     void on_kept_packet(byte_span packet);
-    balancer_notice make_notice(bool with_agents);
+    /// What a notice tells besides the state of its sender.
+    enum class notice_content : std::uint8_t
+    {
+        no_lists,
+        balancers, ///< Addresses of balancers.
+        all        ///< Addresses of balancers and agents.
+    };
+
+    balancer_notice make_notice(notice_content content);
     void send_notice(const endpoint& to, const balancer_notice& notice);
     void send_notices();
+    void send_notices_to_balancers(const notice_plan& plan);
+    void send_notices_to_agents(const notice_plan& plan);
     void run_periodic_check();
 
     event_loop* loop_;
@@ -124,6 +135,7 @@
     std::unique_ptr<udp_socket> callers_;
     std::unique_ptr<udp_socket> relay_;
     std::unordered_map<endpoint, time_point, endpoint_hash> last_hello_;
+    std::size_t notice_round_ = 0;
     std::size_t next_listed_balancer_ = 0; ///< First one in the next notice.
     std::size_t next_listed_agent_ = 0;    ///< First one in the next notice.
     std::uint64_t malformed_ = 0;
--- a/include/briarfield/relay/relay_peers.hpp
+++ b/include/briarfield/relay/relay_peers.hpp
@@ -44,13 +44,18 @@
     /// a notice or were reported within \ref peer_timeout.
     std::vector<endpoint> recipients();
 
-    /// \brief The balancers that sent a notice within \ref peer_timeout.
+    /// \brief The balancers that sent a notice within \ref peer_timeout, and
+    /// have not left.
     std::vector<endpoint> alive();
 
+    /// \brief Those that sent a notice within \a limit, and have not left.
+    std::vector<endpoint> heard_within(duration limit);
+
 private:
     struct peer
     {
-        time_point last_update{}; ///< Last notice, or first report by a peer.
+        time_point last_notice{};
+        time_point last_report{}; ///< Last notice, or last report by a peer.
         std::uint64_t incarnation = 0;
         bool seed = false;
         bool alive = false;
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -23,6 +23,10 @@
 /// this interval if no heartbeat of it was received.
 constexpr duration hello_interval = 400ms;
 
+/// A balancer that has missed this many notices no longer takes its part in
+/// notifying agents.
+constexpr int missed_notices = 3;
+
 /// Maximum packets kept to continue searches, one for each flow; with their
 /// payload they take less than 1 MB.
 constexpr std::size_t max_kept_packets = 512;
@@ -83,7 +87,7 @@
 {
     for (const endpoint& address : addresses)
         if (address != options_.relay && peers_.on_peer_reported(address))
-            send_notice(address, make_notice(true));
+            send_notice(address, make_notice(notice_content::all));
     relay_->flush();
 }
 
@@ -312,7 +316,7 @@
     if (!agents_.on_heartbeat(status) || known_agent != no_agent)
         return;
     // An agent discovers all balancers from the first one that replies.
-    send_notice(status.relay_address, make_notice(false));
+    send_notice(status.relay_address, make_notice(notice_content::balancers));
 }
 
 void relay_balancer::on_message(const flow_held_message& held)
@@ -335,7 +339,7 @@
     const bool lacks_agents =
         notice.agent_count == 0 && agents_.count_alive() > 0;
     if (is_new || lacks_agents)
-        send_notice(notice.relay, make_notice(true));
+        send_notice(notice.relay, make_notice(notice_content::all));
     try_balancers(notice.balancers);
     const time_point now = loop_->timers().now();
     for (const endpoint& agent : notice.agents)
@@ -348,21 +352,23 @@
         if (last_hello != time_point{} && now - last_hello < hello_interval)
             continue;
         last_hello = now;
-        send_notice(agent, make_notice(false));
+        send_notice(agent, make_notice(notice_content::balancers));
     }
     if (notice.config_version > routes_.version() && on_newer_routes)
         on_newer_routes(notice.config_version);
 }
 
-balancer_notice relay_balancer::make_notice(bool with_agents)
+balancer_notice relay_balancer::make_notice(notice_content content)
 {
     balancer_notice notice;
     notice.relay = options_.relay;
     notice.incarnation = incarnation_;
     notice.config_version = routes_.version();
-    notice.balancers = next_addresses(peers_.alive(), next_listed_balancer_);
     notice.agent_count = static_cast<std::uint32_t>(agents_.count_alive());
-    if (!with_agents)
+    if (content == notice_content::no_lists)
+        return notice;
+    notice.balancers = next_addresses(peers_.alive(), next_listed_balancer_);
+    if (content == notice_content::balancers)
         return notice;
     std::vector<endpoint> tracked;
     for (std::size_t i = 0; i < agents_.size(); ++i)
@@ -381,13 +387,11 @@
 
 void relay_balancer::send_notices()
 {
-    queue_frame(*relay_, peers_.recipients(), message_frame(make_notice(true)));
-    const std::string to_agents = message_frame(make_notice(false));
-    for (std::size_t i = 0; i < agents_.size(); ++i)
-        if (agents_.alive(static_cast<agent_index>(i)))
-            relay_->queue_copy(
-                agents_.at(static_cast<agent_index>(i)).status.relay_address,
-                bytes_of(to_agents));
+    const notice_plan plan(
+        options_.relay,
+        peers_.heard_within(missed_notices * options_.notice_interval));
+    send_notices_to_balancers(plan);
+    send_notices_to_agents(plan);
     relay_->flush();
     const duration interval = agents_.count_alive() == 0
                                   ? options_.search_notice_interval
@@ -396,6 +400,32 @@
         loop_->timers().schedule(interval, [this] { send_notices(); });
 }
 
+void relay_balancer::send_notices_to_balancers(const notice_plan& plan)
+{
+    const std::string with_lists =
+        message_frame(make_notice(notice_content::all));
+    const std::string brief =
+        message_frame(make_notice(notice_content::no_lists));
+    for (const endpoint& peer : peers_.recipients())
+        relay_->queue_copy(peer, bytes_of(plan.gets_lists(peer, notice_round_)
+                                              ? with_lists
+                                              : brief));
+    ++notice_round_;
+}
+
+void relay_balancer::send_notices_to_agents(const notice_plan& plan)
+{
+    const std::string frame =
+        message_frame(make_notice(notice_content::balancers));
+    for (std::size_t i = 0; i < agents_.size(); ++i)
+    {
+        const auto index = static_cast<agent_index>(i);
+        const endpoint& agent = agents_.at(index).status.relay_address;
+        if (agents_.alive(index) && plan.notifies(agent))
+            relay_->queue_copy(agent, bytes_of(frame));
+    }
+}
+
 void relay_balancer::run_periodic_check()
 {
     agents_.check();
--- a/src/relay/relay_peers.cpp
+++ b/src/relay/relay_peers.cpp
@@ -14,16 +14,16 @@
     const bool is_new = !p.alive || p.incarnation != incarnation;
     p.incarnation = incarnation;
     p.alive = true;
-    p.last_update = clock_->now();
+    p.last_notice = clock_->now();
+    p.last_report = p.last_notice;
     return is_new;
 }
 
 bool relay_peers::on_peer_reported(const endpoint& relay)
 {
-    if (peers_.count(relay) != 0)
-        return false;
-    peers_[relay].last_update = clock_->now();
-    return true;
+    const bool is_new = peers_.count(relay) == 0;
+    peers_[relay].last_report = clock_->now();
+    return is_new;
 }
 
 void relay_peers::on_leave(const endpoint& relay)
@@ -43,11 +43,17 @@
 }
 
 std::vector<endpoint> relay_peers::alive()
+{
+    return heard_within(peer_timeout);
+}
+
+std::vector<endpoint> relay_peers::heard_within(duration limit)
 {
     remove_expired();
+    const time_point now = clock_->now();
     std::vector<endpoint> all;
     for (const auto& [relay, p] : peers_)
-        if (p.alive)
+        if (p.alive && now - p.last_notice <= limit)
             all.push_back(relay);
     return all;
 }
@@ -57,10 +63,10 @@
     const time_point now = clock_->now();
     for (auto i = peers_.begin(); i != peers_.end();)
     {
-        const bool expired = now - i->second.last_update > peer_timeout;
-        if (expired)
-            i->second.alive = false;
-        i = expired && !i->second.seed ? peers_.erase(i) : std::next(i);
+        peer& p = i->second;
+        p.alive = p.alive && now - p.last_notice <= peer_timeout;
+        const bool expired = now - p.last_report > peer_timeout;
+        i = expired && !p.seed ? peers_.erase(i) : std::next(i);
     }
 }
 
--- a/test/relay/relay_peers_test.cpp
+++ b/test/relay/relay_peers_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST_SUITE(relay_peers_test);
     CPPUNIT_TEST(seeds_are_never_removed);
     CPPUNIT_TEST(unresponsive_peers_are_removed);
+    CPPUNIT_TEST(reported_peers_stay_addresses_but_are_not_alive);
     CPPUNIT_TEST(restart_is_detected);
     CPPUNIT_TEST(leaving_peer_is_not_alive_but_found_after_a_restart);
     CPPUNIT_TEST_SUITE_END();
@@ -45,6 +46,21 @@
         CPPUNIT_ASSERT(peers_.recipients() == std::vector<endpoint>{seed_});
     }
 
+    /// An agent gets notices of a few balancers only, which report the others.
+    void reported_peers_stay_addresses_but_are_not_alive()
+    {
+        peers_.on_notice(other_, 1);
+        for (int i = 0; i < 20; ++i)
+        {
+            clock_.advance(1s);
+            peers_.on_peer_reported(other_);
+        }
+        CPPUNIT_ASSERT(peers_.alive().empty());
+        CPPUNIT_ASSERT(peers_.recipients() == std::vector<endpoint>{other_});
+        clock_.advance(relay_peers::peer_timeout + 1ms);
+        CPPUNIT_ASSERT(peers_.recipients().empty());
+    }
+
     void restart_is_detected()
     {
         CPPUNIT_ASSERT(peers_.on_peer_reported(other_));
