An agent tells of a flow only after its server has sent on it

Cause: the record that a searching packet leaves at an agent was taken for a flow of its server. Change: the record says whether the server has sent on the flow. Tests: two in server_gate_test.

--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -186,6 +186,7 @@
         bool in_progress = false;
         bool found_free_slot = false; ///< The last request did not wait.
         bool closed = false;          ///< One end has closed or reset it.
+        bool sent_by_server = false;  ///< The server has sent any packet.
         bool answered = false; ///< The server has sent data after accepting.
         short_packet probe;    ///< See \ref probes.
     };
@@ -202,7 +203,7 @@
     void record_returned(const flow_key& key);
     gate_verdict end_flow(const flow_packet& packet);
     bool was_delivered(const flow_key& key) const;
-    bool may_have_flow(const flow_key& key) const;
+    bool has_sent_on(const flow_key& key) const;
     std::size_t expected_requests() const;
     bool overloaded() const;
     bool server_rejects_openings() const;
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -62,7 +62,7 @@
     if (opening)
         record_delivered_opening();
     const bool has_flow =
-        info.mode == forward_mode::search && may_have_flow(packet.key);
+        info.mode == forward_mode::search && has_sent_on(packet.key);
     const std::uint16_t balancer = position_of(from);
     record_packet(packet, info.mode, balancer);
     gate_verdict verdict;
@@ -87,14 +87,13 @@
     return found != flows_.end() && !found->second.closed;
 }
 
-/// Whether the server has taken the flow, as far as the agent knows. A balancer
-/// that searches is told at once, since the server need not answer the packet;
-/// if the server has lost the flow, it returns the packet.
-bool server_gate::may_have_flow(const flow_key& key) const
+/// Whether the server has sent a packet of the flow. A balancer that searches
+/// is told at once, since the server need not answer the packet; if the server
+/// has lost the flow, it returns the packet.
+bool server_gate::has_sent_on(const flow_key& key) const
 {
     const auto found = flows_.find(key);
-    return found != flows_.end() &&
-           (found->second.open || found->second.closed);
+    return found != flows_.end() && found->second.sent_by_server;
 }
 
 /// Requests in progress, and those expected from the latest openings.
@@ -207,6 +206,7 @@
         if (on_decision)
             on_decision(packet, verdict);
     }
+    record.sent_by_server = true;
     record.answered = record.answered || !packet.accepts;
     record_outcome(record, packet);
     if (packet.payload_size > 0 && record.in_progress)
@@ -352,6 +352,7 @@
     if (packet.kind == packet_kind::opening)
     {
         // The caller has abandoned any earlier flow on this port.
+        record.sent_by_server = false;
         record.answered = false;
         record.probe = short_packet();
     }
--- a/test/dispatch/server_gate_test.cpp
+++ b/test/dispatch/server_gate_test.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(returned_probe_resets_the_flow);
     CPPUNIT_TEST(lost_flow_is_reported_once);
     CPPUNIT_TEST(returned_packet_of_an_unknown_flow_is_not_a_loss);
+    CPPUNIT_TEST(searching_balancer_is_told_of_a_flow_of_the_server);
+    CPPUNIT_TEST(searching_balancer_is_not_told_of_a_flow_by_its_own_packets);
     CPPUNIT_TEST(server_that_resets_requests_is_ejected);
     CPPUNIT_TEST(closing_that_overtakes_the_answer_is_no_failure);
     CPPUNIT_TEST(resets_of_an_overloaded_server_are_no_failures);
@@ -165,6 +167,30 @@
         CPPUNIT_ASSERT_EQUAL(1, lost_flows_);
     }
 
+    gate_verdict search_for_flow()
+    {
+        return gate_.on_balancer_packet(packet(packet_kind::segment),
+                                        {forward_mode::search, 0}, balancer_);
+    }
+
+    /// A server does not answer a bare acknowledgment.
+    void searching_balancer_is_told_of_a_flow_of_the_server()
+    {
+        open_flow();
+        const gate_verdict verdict = search_for_flow();
+        CPPUNIT_ASSERT(verdict.decision == gate_verdict::action::deliver);
+        CPPUNIT_ASSERT(verdict.notify_balancer);
+        CPPUNIT_ASSERT(verdict.balancer == balancer_);
+    }
+
+    /// Two agents claimed a flow in turn because its packets had passed them,
+    /// and the search went back and forth.
+    void searching_balancer_is_not_told_of_a_flow_by_its_own_packets()
+    {
+        CPPUNIT_ASSERT(!search_for_flow().notify_balancer);
+        CPPUNIT_ASSERT(!search_for_flow().notify_balancer);
+    }
+
     void returned_packet_of_an_unknown_flow_is_not_a_loss()
     {
         const std::uint32_t tag = from_caller(packet(packet_kind::segment, 9));
