The runtime's clock counts the time for which an instance was suspended

Cause: std::chrono::steady_clock stands still during a suspension, so an agent or a balancer took what it had recorded before for recent. Change: CLOCK_BOOTTIME. Test: time_of_a_suspension_counts, against the system's clock.

--- a/include/briarfield/core/clock.hpp
+++ b/include/briarfield/core/clock.hpp
@@ -59,7 +59,10 @@
     virtual time_point now() const = 0;
 };
 
-/// \brief Clock of a running daemon, based on std::chrono::steady_clock.
+/// \brief Clock of a running daemon, CLOCK_BOOTTIME of the system.
+///
+/// Unlike std::chrono::steady_clock it counts the time for which the instance
+/// was suspended, so that what was recorded before has its true age afterwards.
 class steady_clock final : public clock
 {
 public:
--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -1,12 +1,16 @@
 #include "briarfield/core/clock.hpp"
 
+#include <ctime>
+
 namespace briarfield
 {
 
 time_point steady_clock::now() const
 {
-    return {std::chrono::duration_cast<duration>(
-        std::chrono::steady_clock::now().time_since_epoch())};
+    timespec t{};
+    clock_gettime(CLOCK_BOOTTIME, &t);
+    return {std::chrono::seconds(t.tv_sec) +
+            std::chrono::nanoseconds(t.tv_nsec)};
 }
 
 timer_id timer_queue::schedule(duration delay, std::function<void()> call)
--- a/test/core/clock_test.cpp
+++ b/test/core/clock_test.cpp
@@ -1,6 +1,7 @@
 #include "briarfield/core/clock.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <ctime>
 #include <vector>
 
 namespace
@@ -14,6 +15,7 @@
     CPPUNIT_TEST_SUITE(clock_test);
     CPPUNIT_TEST(calls_run_in_order_of_due_time);
     CPPUNIT_TEST(cancelled_call_does_not_run);
+    CPPUNIT_TEST(time_of_a_suspension_counts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -30,6 +32,25 @@
         CPPUNIT_ASSERT(ran == (std::vector<int>{1, 2}));
     }
 
+    static duration boot_time()
+    {
+        timespec t{};
+        CPPUNIT_ASSERT_EQUAL(0, clock_gettime(CLOCK_BOOTTIME, &t));
+        return std::chrono::seconds(t.tv_sec) +
+               std::chrono::nanoseconds(t.tv_nsec);
+    }
+
+    /// A test cannot suspend the instance, so it compares with the clock of the
+    /// system that counts such time.
+    void time_of_a_suspension_counts()
+    {
+        const steady_clock c;
+        const duration before = boot_time();
+        const time_point now = c.now();
+        CPPUNIT_ASSERT(before <= now.since_origin);
+        CPPUNIT_ASSERT(now.since_origin <= boot_time());
+    }
+
     void cancelled_call_does_not_run()
     {
         manual_clock c;
