--- a/include/briarfield/relay/relay_agent.hpp
+++ b/include/briarfield/relay/relay_agent.hpp
@@ -89,8 +89,8 @@
     /// \brief Whether no balancer is known to run.
     bool awaits_balancers() const;
 
-    /// \brief Sends heartbeats to balancers that are recorded in the store; the
-    /// addresses may be outdated.
+    /// \brief Sends heartbeats to balancers that others have reported or that
+    /// have a record in the store; the addresses may be outdated.
     void try_balancers(const std::vector<endpoint>& addresses);
 
 private:
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -81,8 +81,8 @@
     /// \brief Whether no other balancer is alive.
     bool alone() { return peers_.alive().empty(); }
 
-    /// \brief Sends a notice to balancers that are recorded in the store; the
-    /// addresses may be outdated.
+    /// \brief Sends a notice to balancers that others have reported or that
+    /// have a record in the store; the addresses may be outdated.
     void try_balancers(const std::vector<endpoint>& addresses);
 
     /// \brief Address that receives frames of agents and balancers.
