--- a/test/relay/balancer_records_test.cpp
+++ b/test/relay/balancer_records_test.cpp
@@ -113,16 +113,16 @@
     /// The users' two-year size: 550 balancers, of which each write counts.
     void balancers_that_start_together_write_at_different_times()
     {
-        std::vector<std::unique_ptr<balancer_record_writer>> all;
-        for (int i = 0; i < 550; ++i)
-            all.push_back(start_writer());
+        std::vector<std::unique_ptr<balancer_record_writer>> all(550);
+        for (auto& writer : all)
+            writer = start_writer();
         for (int i = 0; i < 20; ++i)
         {
             const std::size_t before = writes_;
             wait(100ms);
             CPPUNIT_ASSERT(writes_ - before < 60);
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t(550), writes_);
+        CPPUNIT_ASSERT_EQUAL(all.size(), writes_);
     }
 
     void nothing_is_read_while_balancers_are_heard()
