--- a/include/briarfield/control/dispatch_messages.hpp
+++ b/include/briarfield/control/dispatch_messages.hpp
@@ -18,6 +18,40 @@
     endpoint agent; ///< Address at which the agent receives frames.
 };
 
+/// \brief Zones whose servers get no new flows, as read from the store.
+struct evacuated_zones
+{
+    std::uint64_t era = 0;      ///< Of the store; see \ref store_era.
+    std::uint64_t revision = 0; ///< Of the store; 0: never read.
+    std::vector<std::string> zones;
+};
+
+/// \brief Limit of the openings that a server of a service takes while it
+/// warms up.
+struct warmup_limit
+{
+    std::string service;
+    float per_second = 0; ///< Openings that a warming server bears.
+    duration warmup{};    ///< From the start of a server.
+};
+
+/// \brief Sent by a balancer to an agent: asks which flows its server holds.
+struct flow_query
+{
+    endpoint balancer;    ///< Address at which the answer is received.
+    std::uint32_t id = 0; ///< Returned in the answer.
+    std::vector<flow_key> flows;
+};
+
+/// \brief Answer of an agent to a \ref flow_query.
+struct flow_answer
+{
+    endpoint agent;        ///< Address at which the agent receives frames.
+    std::uint32_t id = 0;  ///< Of the query.
+    bool complete = false; ///< Flows that are not listed are not held.
+    std::vector<std::uint16_t> held; ///< Positions in flow_query::flows.
+};
+
 /// \brief Sent by a balancer: its state and the processes of which it has a
 /// record.
 struct balancer_notice
@@ -31,11 +65,16 @@
     bool leaving = false;          ///< Whether the sender is stopping.
     std::uint64_t incarnation = 0; ///< Differs for each start of the sender.
     std::uint32_t agent_count = 0; ///< Number of agents alive.
+    evacuated_zones evacuations;
+    std::vector<warmup_limit> warmup_limits; ///< Of \ref config_version.
 };
 
 /// \brief Content of a control datagram between balancers and agents.
-using dispatch_message =
-    std::variant<agent_status, flow_held_message, balancer_notice>;
+using dispatch_message = std::variant<agent_status,
+                                      flow_held_message,
+                                      balancer_notice,
+                                      flow_query,
+                                      flow_answer>;
 
 /// \brief Encodes \a message as packed Cap'n Proto.
 std::string encode_dispatch_message(const dispatch_message& message);
--- a/include/briarfield/dispatch/agent_directory.hpp
+++ b/include/briarfield/dispatch/agent_directory.hpp
@@ -30,6 +30,16 @@
 /// \brief Label of \a state in logs and metrics.
 std::string_view server_state_name(server_state state) noexcept;
 
+/// \brief Mean time of a request by route; see agent_status::service_time.
+struct route_time
+{
+    endpoint destination; ///< Address and port that callers use.
+    duration service_time{};
+};
+
+/// \brief Value of agent_status::opening_room if openings are not limited.
+constexpr std::uint16_t unlimited_openings = 0xffff;
+
 /// \brief A heartbeat of an agent: state and load of its server.
 struct agent_status
 {
@@ -48,6 +58,11 @@
     /// Time left until the server runs at full speed.
     std::uint32_t warmup_ms = 0;
     bool restarting = false; ///< The agent stops; its server may keep running.
+    /// The agent has a record of every flow that its server can hold.
+    bool flows_complete = false;
+    /// Openings that the server may take within the next second.
+    std::uint16_t opening_room = unlimited_openings;
+    std::vector<route_time> route_times; ///< Empty in most heartbeats.
 };
 
 /// \brief Position of an agent in an \ref agent_directory. Reused when the
--- a/include/briarfield/dispatch/flow_packet.hpp
+++ b/include/briarfield/dispatch/flow_packet.hpp
@@ -70,6 +70,7 @@
     draining,      ///< The server is draining or has stopped.
     silent,        ///< The server has timed out.
     busy,          ///< The server is overloaded; another one answers sooner.
+    warming,       ///< The server is warming up and takes no more openings now.
     count_
 };
 
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -104,6 +104,8 @@
     void on_message(const relay_frame& frame);
     void on_message(const agent_status& status);
     void on_message(const flow_held_message& held);
+    void on_message(const flow_query& query);
+    void on_message(const flow_answer& answer);
     void on_message(const balancer_notice& notice);
     void apply_verdict(const dispatch_verdict& verdict,
                        byte_span packet,
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -35,6 +35,7 @@
 
     endpoint store_address;
     std::uint32_t store_config_bound_ms = 0;
+    std::uint32_t store_evacuation_bound_ms = 0; ///< 0: not followed.
     std::string overlay_key_file;
     std::string overlay_other_key_file;
     std::string control_key_file;
@@ -72,6 +73,9 @@
     std::uint32_t relay_seed_port = 0;
     duration relay_silence_limit{};
     duration relay_checkpoint_interval{};
+    double relay_warmup_overshoot = 0;
+    double relay_warmup_slack = 0; ///< Openings a second.
+    std::uint32_t relay_max_flow_age_s = 0;
     double relay_store_writes = 0; ///< Calls per second of all instances.
 
     endpoint trace_collector;
--- a/src/app/settings_table.cpp
+++ b/src/app/settings_table.cpp
@@ -43,6 +43,12 @@
              "of "
              "the configuration, although its connection to the store was lost "
              "without notice. Watches last 60% of it."),
+    row("store", "evacuation_bound_ms", &settings::store_evacuation_bound_ms)
+        .by_default("0")
+        .range("0", "300000")
+        .doc("Time in ms within which a balancer of the relay places no more "
+             "flows in a zone whose evacuation was written to the store. 0: "
+             "evacuations are not followed."),
 
     row("keys", "overlay", &settings::overlay_key_file)
         .is_secret()
@@ -188,6 +194,22 @@
         .range("1", "1000000")
         .doc("Write calls per second that the store allows all instances "
              "together; checkpoints use at most a twentieth of them."),
+    row("relay", "warmup_overshoot", &settings::relay_warmup_overshoot)
+        .by_default("0")
+        .range("0", "1000")
+        .doc("Factor on the openings per second that the configuration allows "
+             "a server that is warming up. 0, with warmup_slack 0: openings of "
+             "such servers are not limited."),
+    row("relay", "warmup_slack", &settings::relay_warmup_slack)
+        .by_default("0")
+        .range("0", "1000000")
+        .doc("Openings per second that a server that is warming up may take "
+             "beyond that."),
+    row("relay", "max_flow_age_s", &settings::relay_max_flow_age_s)
+        .by_default("60")
+        .range("1", "86400")
+        .doc("Age in seconds up to which flows are kept; an agent that has run "
+             "for this long has a record of every flow of its server."),
 
     row("trace", "collector", &settings::trace_collector)
         .doc("Address of the collector that receives spans by OTLP/HTTP JSON; "
--- a/src/control/dispatch.capnp
+++ b/src/control/dispatch.capnp
@@ -29,6 +29,17 @@
   restarting @10 :Bool;        # the agent stops; its server may keep running
   serviceTime @11 :UInt32;     # microseconds of a request that need not wait,
                                # recent mean; 0: unknown
+  flowsComplete @12 :Bool;     # the agent has a record of every flow that its
+                               # server can hold
+  openingRoom @13 :UInt16 = 65535; # openings that the server may take within
+                               # the next second; 65535: not limited
+  routeTimes @14 :List(RouteTime); # empty in most heartbeats
+}
+
+# Mean time of a request by route.
+struct RouteTime {
+  destination @0 :Control.Address; # address and port that callers use
+  serviceTime @1 :UInt32;          # microseconds, as in AgentStatus
 }
 
 # Sent by an agent to the balancer that forwarded a packet: the agent's server
@@ -51,6 +62,44 @@
   incarnation @5 :UInt64;              # differs with each start of the sender
   agentCount @6 :UInt32;               # agents that sent a heartbeat within the
                                        # heartbeat timeout
+  evacuations @7 :Evacuations;
+  warmupLimits @8 :List(WarmupLimit);  # of the configuration version above
+}
+
+# Zones whose servers get no new flows.
+struct Evacuations {
+  era @0 :UInt64;              # of the store, when they were read
+  revision @1 :UInt64;         # of the store; 0: never read
+  zones @2 :List(Text);
+}
+
+# Limit of the openings that a server of a service takes while it warms up.
+struct WarmupLimit {
+  service @0 :Text;
+  perSecond @1 :Float32;       # openings that a warming server bears
+  duration @2 :UInt32;         # milliseconds from the start of a server
+}
+
+# A flow, by the addresses and ports of its callers' packets.
+struct FlowId {
+  source @0 :Control.Address;
+  destination @1 :Control.Address;
+  protocol @2 :UInt8;          # IANA number
+}
+
+# Sent by a balancer to an agent: which of these flows does its server hold?
+struct FlowQuery {
+  balancer @0 :Control.Address; # address at which the answer is received
+  id @1 :UInt32;                # returned in the answer
+  flows @2 :List(FlowId);
+}
+
+# Answer of an agent to a FlowQuery.
+struct FlowAnswer {
+  agent @0 :Control.Address;   # address at which the agent receives frames
+  id @1 :UInt32;               # of the query
+  complete @2 :Bool;           # whether flows that are not listed are not held
+  held @3 :List(UInt16);       # positions in FlowQuery.flows
 }
 
 struct DispatchDatagram {
@@ -58,5 +107,7 @@
     status @0 :AgentStatus;
     held @1 :FlowHeld;
     notice @2 :BalancerNotice;
+    query @3 :FlowQuery;
+    answer @4 :FlowAnswer;
   }
 }
--- a/src/control/dispatch.capnp.h
+++ b/src/control/dispatch.capnp.h
@@ -27,8 +27,14 @@
 };
 CAPNP_DECLARE_ENUM(ServerState, c3ea4e50efc22650);
 CAPNP_DECLARE_SCHEMA(f54d217f3afa356a);
+CAPNP_DECLARE_SCHEMA(ad354ba91eb18750);
 CAPNP_DECLARE_SCHEMA(9ce2c9646cc90068);
 CAPNP_DECLARE_SCHEMA(ea9e66e885baa2d9);
+CAPNP_DECLARE_SCHEMA(f74b7dba084a307c);
+CAPNP_DECLARE_SCHEMA(bf612d8e39d21266);
+CAPNP_DECLARE_SCHEMA(b8c791f7a2e40b18);
+CAPNP_DECLARE_SCHEMA(dea40e1dfe838b51);
+CAPNP_DECLARE_SCHEMA(c33a30dcd3faa321);
 CAPNP_DECLARE_SCHEMA(a033487a74b0504d);
 
 }  // namespace schemas
@@ -47,7 +53,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f54d217f3afa356a, 5, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(f54d217f3afa356a, 6, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RouteTime {
+  RouteTime() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ad354ba91eb18750, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -77,7 +98,82 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea9e66e885baa2d9, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ea9e66e885baa2d9, 3, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Evacuations {
+  Evacuations() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f74b7dba084a307c, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct WarmupLimit {
+  WarmupLimit() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bf612d8e39d21266, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FlowId {
+  FlowId() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b8c791f7a2e40b18, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FlowQuery {
+  FlowQuery() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dea40e1dfe838b51, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FlowAnswer {
+  FlowAnswer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c33a30dcd3faa321, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -94,6 +190,8 @@
     STATUS,
     HELD,
     NOTICE,
+    QUERY,
+    ANSWER,
   };
 
   struct _capnpPrivate {
@@ -150,6 +248,13 @@
 
   inline  ::uint32_t getServiceTime() const;
 
+  inline bool getFlowsComplete() const;
+
+  inline  ::uint16_t getOpeningRoom() const;
+
+  inline bool hasRouteTimes() const;
+  inline  ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>::Reader getRouteTimes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -226,6 +331,19 @@
   inline  ::uint32_t getServiceTime();
   inline void setServiceTime( ::uint32_t value);
 
+  inline bool getFlowsComplete();
+  inline void setFlowsComplete(bool value);
+
+  inline  ::uint16_t getOpeningRoom();
+  inline void setOpeningRoom( ::uint16_t value);
+
+  inline bool hasRouteTimes();
+  inline  ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>::Builder getRouteTimes();
+  inline void setRouteTimes( ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>::Builder initRouteTimes(unsigned int size);
+  inline void adoptRouteTimes(::capnp::Orphan< ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>> disownRouteTimes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -253,6 +371,93 @@
 };
 #endif  // !CAPNP_LITE
 
+class RouteTime::Reader {
+public:
+  typedef RouteTime Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDestination() const;
+  inline  ::briarfield::wire::Address::Reader getDestination() const;
+
+  inline  ::uint32_t getServiceTime() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class RouteTime::Builder {
+public:
+  typedef RouteTime Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDestination();
+  inline  ::briarfield::wire::Address::Builder getDestination();
+  inline void setDestination( ::briarfield::wire::Address::Reader value);
+  inline  ::briarfield::wire::Address::Builder initDestination();
+  inline void adoptDestination(::capnp::Orphan< ::briarfield::wire::Address>&& value);
+  inline ::capnp::Orphan< ::briarfield::wire::Address> disownDestination();
+
+  inline  ::uint32_t getServiceTime();
+  inline void setServiceTime( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class RouteTime::Pipeline {
+public:
+  typedef RouteTime Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::briarfield::wire::Address::Pipeline getDestination();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FlowHeld::Reader {
 public:
   typedef FlowHeld Reads;
@@ -396,6 +601,12 @@
 
   inline  ::uint32_t getAgentCount() const;
 
+  inline bool hasEvacuations() const;
+  inline  ::briarfield::wire::Evacuations::Reader getEvacuations() const;
+
+  inline bool hasWarmupLimits() const;
+  inline  ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>::Reader getWarmupLimits() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -457,6 +668,20 @@
   inline  ::uint32_t getAgentCount();
   inline void setAgentCount( ::uint32_t value);
 
+  inline bool hasEvacuations();
+  inline  ::briarfield::wire::Evacuations::Builder getEvacuations();
+  inline void setEvacuations( ::briarfield::wire::Evacuations::Reader value);
+  inline  ::briarfield::wire::Evacuations::Builder initEvacuations();
+  inline void adoptEvacuations(::capnp::Orphan< ::briarfield::wire::Evacuations>&& value);
+  inline ::capnp::Orphan< ::briarfield::wire::Evacuations> disownEvacuations();
+
+  inline bool hasWarmupLimits();
+  inline  ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>::Builder getWarmupLimits();
+  inline void setWarmupLimits( ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>::Builder initWarmupLimits(unsigned int size);
+  inline void adoptWarmupLimits(::capnp::Orphan< ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>> disownWarmupLimits();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -476,6 +701,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::briarfield::wire::Address::Pipeline getRelay();
+  inline  ::briarfield::wire::Evacuations::Pipeline getEvacuations();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -484,9 +710,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class DispatchDatagram::Reader {
+class Evacuations::Reader {
 public:
-  typedef DispatchDatagram Reads;
+  typedef Evacuations Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -501,18 +727,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline Which which() const;
-  inline bool isStatus() const;
-  inline bool hasStatus() const;
-  inline  ::briarfield::wire::AgentStatus::Reader getStatus() const;
+  inline  ::uint64_t getEra() const;
 
-  inline bool isHeld() const;
-  inline bool hasHeld() const;
-  inline  ::briarfield::wire::FlowHeld::Reader getHeld() const;
+  inline  ::uint64_t getRevision() const;
 
-  inline bool isNotice() const;
-  inline bool hasNotice() const;
-  inline  ::briarfield::wire::BalancerNotice::Reader getNotice() const;
+  inline bool hasZones() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getZones() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -526,9 +746,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class DispatchDatagram::Builder {
+class Evacuations::Builder {
 public:
-  typedef DispatchDatagram Builds;
+  typedef Evacuations Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -542,30 +762,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline Which which();
-  inline bool isStatus();
-  inline bool hasStatus();
-  inline  ::briarfield::wire::AgentStatus::Builder getStatus();
-  inline void setStatus( ::briarfield::wire::AgentStatus::Reader value);
-  inline  ::briarfield::wire::AgentStatus::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::briarfield::wire::AgentStatus>&& value);
-  inline ::capnp::Orphan< ::briarfield::wire::AgentStatus> disownStatus();
+  inline  ::uint64_t getEra();
+  inline void setEra( ::uint64_t value);
 
-  inline bool isHeld();
-  inline bool hasHeld();
-  inline  ::briarfield::wire::FlowHeld::Builder getHeld();
-  inline void setHeld( ::briarfield::wire::FlowHeld::Reader value);
-  inline  ::briarfield::wire::FlowHeld::Builder initHeld();
-  inline void adoptHeld(::capnp::Orphan< ::briarfield::wire::FlowHeld>&& value);
-  inline ::capnp::Orphan< ::briarfield::wire::FlowHeld> disownHeld();
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
-  inline bool isNotice();
-  inline bool hasNotice();
-  inline  ::briarfield::wire::BalancerNotice::Builder getNotice();
-  inline void setNotice( ::briarfield::wire::BalancerNotice::Reader value);
-  inline  ::briarfield::wire::BalancerNotice::Builder initNotice();
-  inline void adoptNotice(::capnp::Orphan< ::briarfield::wire::BalancerNotice>&& value);
-  inline ::capnp::Orphan< ::briarfield::wire::BalancerNotice> disownNotice();
+  inline bool hasZones();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getZones();
+  inline void setZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initZones(unsigned int size);
+  inline void adoptZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownZones();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -577,9 +786,9 @@
 };
 
 #if !CAPNP_LITE
-class DispatchDatagram::Pipeline {
+class Evacuations::Pipeline {
 public:
-  typedef DispatchDatagram Pipelines;
+  typedef Evacuations Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -593,533 +802,1655 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class WarmupLimit::Reader {
+public:
+  typedef WarmupLimit Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool AgentStatus::Reader::hasData() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentStatus::Builder::hasData() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::briarfield::wire::Address::Reader AgentStatus::Reader::getData() const {
-  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::briarfield::wire::Address::Builder AgentStatus::Builder::getData() {
-  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
 #if !CAPNP_LITE
-inline  ::briarfield::wire::Address::Pipeline AgentStatus::Pipeline::getData() {
-  return  ::briarfield::wire::Address::Pipeline(_typeless.getPointerField(0));
-}
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
 #endif  // !CAPNP_LITE
-inline void AgentStatus::Builder::setData( ::briarfield::wire::Address::Reader value) {
-  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::briarfield::wire::Address::Builder AgentStatus::Builder::initData() {
-  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentStatus::Builder::adoptData(
-    ::capnp::Orphan< ::briarfield::wire::Address>&& value) {
-  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::briarfield::wire::Address> AgentStatus::Builder::disownData() {
-  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
 
-inline  ::uint64_t AgentStatus::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-inline  ::uint64_t AgentStatus::Builder::getIncarnation() {
+  inline float getPerSecond() const;
+
+  inline  ::uint32_t getDuration() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WarmupLimit::Builder {
+public:
+  typedef WarmupLimit Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline float getPerSecond();
+  inline void setPerSecond(float value);
+
+  inline  ::uint32_t getDuration();
+  inline void setDuration( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WarmupLimit::Pipeline {
+public:
+  typedef WarmupLimit Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FlowId::Reader {
+public:
+  typedef FlowId Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSource() const;
+  inline  ::briarfield::wire::Address::Reader getSource() const;
+
+  inline bool hasDestination() const;
+  inline  ::briarfield::wire::Address::Reader getDestination() const;
+
+  inline  ::uint8_t getProtocol() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FlowId::Builder {
+public:
+  typedef FlowId Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSource();
+  inline  ::briarfield::wire::Address::Builder getSource();
+  inline void setSource( ::briarfield::wire::Address::Reader value);
+  inline  ::briarfield::wire::Address::Builder initSource();
+  inline void adoptSource(::capnp::Orphan< ::briarfield::wire::Address>&& value);
+  inline ::capnp::Orphan< ::briarfield::wire::Address> disownSource();
+
+  inline bool hasDestination();
+  inline  ::briarfield::wire::Address::Builder getDestination();
+  inline void setDestination( ::briarfield::wire::Address::Reader value);
+  inline  ::briarfield::wire::Address::Builder initDestination();
+  inline void adoptDestination(::capnp::Orphan< ::briarfield::wire::Address>&& value);
+  inline ::capnp::Orphan< ::briarfield::wire::Address> disownDestination();
+
+  inline  ::uint8_t getProtocol();
+  inline void setProtocol( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FlowId::Pipeline {
+public:
+  typedef FlowId Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::briarfield::wire::Address::Pipeline getSource();
+  inline  ::briarfield::wire::Address::Pipeline getDestination();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FlowQuery::Reader {
+public:
+  typedef FlowQuery Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBalancer() const;
+  inline  ::briarfield::wire::Address::Reader getBalancer() const;
+
+  inline  ::uint32_t getId() const;
+
+  inline bool hasFlows() const;
+  inline  ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>::Reader getFlows() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FlowQuery::Builder {
+public:
+  typedef FlowQuery Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBalancer();
+  inline  ::briarfield::wire::Address::Builder getBalancer();
+  inline void setBalancer( ::briarfield::wire::Address::Reader value);
+  inline  ::briarfield::wire::Address::Builder initBalancer();
+  inline void adoptBalancer(::capnp::Orphan< ::briarfield::wire::Address>&& value);
+  inline ::capnp::Orphan< ::briarfield::wire::Address> disownBalancer();
+
+  inline  ::uint32_t getId();
+  inline void setId( ::uint32_t value);
+
+  inline bool hasFlows();
+  inline  ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>::Builder getFlows();
+  inline void setFlows( ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>::Builder initFlows(unsigned int size);
+  inline void adoptFlows(::capnp::Orphan< ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>> disownFlows();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FlowQuery::Pipeline {
+public:
+  typedef FlowQuery Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::briarfield::wire::Address::Pipeline getBalancer();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FlowAnswer::Reader {
+public:
+  typedef FlowAnswer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAgent() const;
+  inline  ::briarfield::wire::Address::Reader getAgent() const;
+
+  inline  ::uint32_t getId() const;
+
+  inline bool getComplete() const;
+
+  inline bool hasHeld() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getHeld() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FlowAnswer::Builder {
+public:
+  typedef FlowAnswer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAgent();
+  inline  ::briarfield::wire::Address::Builder getAgent();
+  inline void setAgent( ::briarfield::wire::Address::Reader value);
+  inline  ::briarfield::wire::Address::Builder initAgent();
+  inline void adoptAgent(::capnp::Orphan< ::briarfield::wire::Address>&& value);
+  inline ::capnp::Orphan< ::briarfield::wire::Address> disownAgent();
+
+  inline  ::uint32_t getId();
+  inline void setId( ::uint32_t value);
+
+  inline bool getComplete();
+  inline void setComplete(bool value);
+
+  inline bool hasHeld();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getHeld();
+  inline void setHeld( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHeld(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initHeld(unsigned int size);
+  inline void adoptHeld(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownHeld();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FlowAnswer::Pipeline {
+public:
+  typedef FlowAnswer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::briarfield::wire::Address::Pipeline getAgent();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class DispatchDatagram::Reader {
+public:
+  typedef DispatchDatagram Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isStatus() const;
+  inline bool hasStatus() const;
+  inline  ::briarfield::wire::AgentStatus::Reader getStatus() const;
+
+  inline bool isHeld() const;
+  inline bool hasHeld() const;
+  inline  ::briarfield::wire::FlowHeld::Reader getHeld() const;
+
+  inline bool isNotice() const;
+  inline bool hasNotice() const;
+  inline  ::briarfield::wire::BalancerNotice::Reader getNotice() const;
+
+  inline bool isQuery() const;
+  inline bool hasQuery() const;
+  inline  ::briarfield::wire::FlowQuery::Reader getQuery() const;
+
+  inline bool isAnswer() const;
+  inline bool hasAnswer() const;
+  inline  ::briarfield::wire::FlowAnswer::Reader getAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class DispatchDatagram::Builder {
+public:
+  typedef DispatchDatagram Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isStatus();
+  inline bool hasStatus();
+  inline  ::briarfield::wire::AgentStatus::Builder getStatus();
+  inline void setStatus( ::briarfield::wire::AgentStatus::Reader value);
+  inline  ::briarfield::wire::AgentStatus::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::briarfield::wire::AgentStatus>&& value);
+  inline ::capnp::Orphan< ::briarfield::wire::AgentStatus> disownStatus();
+
+  inline bool isHeld();
+  inline bool hasHeld();
+  inline  ::briarfield::wire::FlowHeld::Builder getHeld();
+  inline void setHeld( ::briarfield::wire::FlowHeld::Reader value);
+  inline  ::briarfield::wire::FlowHeld::Builder initHeld();
+  inline void adoptHeld(::capnp::Orphan< ::briarfield::wire::FlowHeld>&& value);
+  inline ::capnp::Orphan< ::briarfield::wire::FlowHeld> disownHeld();
+
+  inline bool isNotice();
+  inline bool hasNotice();
+  inline  ::briarfield::wire::BalancerNotice::Builder getNotice();
+  inline void setNotice( ::briarfield::wire::BalancerNotice::Reader value);
+  inline  ::briarfield::wire::BalancerNotice::Builder initNotice();
+  inline void adoptNotice(::capnp::Orphan< ::briarfield::wire::BalancerNotice>&& value);
+  inline ::capnp::Orphan< ::briarfield::wire::BalancerNotice> disownNotice();
+
+  inline bool isQuery();
+  inline bool hasQuery();
+  inline  ::briarfield::wire::FlowQuery::Builder getQuery();
+  inline void setQuery( ::briarfield::wire::FlowQuery::Reader value);
+  inline  ::briarfield::wire::FlowQuery::Builder initQuery();
+  inline void adoptQuery(::capnp::Orphan< ::briarfield::wire::FlowQuery>&& value);
+  inline ::capnp::Orphan< ::briarfield::wire::FlowQuery> disownQuery();
+
+  inline bool isAnswer();
+  inline bool hasAnswer();
+  inline  ::briarfield::wire::FlowAnswer::Builder getAnswer();
+  inline void setAnswer( ::briarfield::wire::FlowAnswer::Reader value);
+  inline  ::briarfield::wire::FlowAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::briarfield::wire::FlowAnswer>&& value);
+  inline ::capnp::Orphan< ::briarfield::wire::FlowAnswer> disownAnswer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class DispatchDatagram::Pipeline {
+public:
+  typedef DispatchDatagram Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool AgentStatus::Reader::hasData() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentStatus::Builder::hasData() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::briarfield::wire::Address::Reader AgentStatus::Reader::getData() const {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::briarfield::wire::Address::Builder AgentStatus::Builder::getData() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::briarfield::wire::Address::Pipeline AgentStatus::Pipeline::getData() {
+  return  ::briarfield::wire::Address::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void AgentStatus::Builder::setData( ::briarfield::wire::Address::Reader value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::briarfield::wire::Address::Builder AgentStatus::Builder::initData() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentStatus::Builder::adoptData(
+    ::capnp::Orphan< ::briarfield::wire::Address>&& value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::briarfield::wire::Address> AgentStatus::Builder::disownData() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AgentStatus::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentStatus::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AgentStatus::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t AgentStatus::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentStatus::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void AgentStatus::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AgentStatus::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentStatus::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AgentStatus::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AgentStatus::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void AgentStatus::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AgentStatus::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void AgentStatus::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AgentStatus::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool AgentStatus::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentStatus::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AgentStatus::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AgentStatus::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void AgentStatus::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AgentStatus::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void AgentStatus::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AgentStatus::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::briarfield::wire::ServerState AgentStatus::Reader::getState() const {
+  return _reader.getDataField< ::briarfield::wire::ServerState>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::briarfield::wire::ServerState AgentStatus::Builder::getState() {
+  return _builder.getDataField< ::briarfield::wire::ServerState>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void AgentStatus::Builder::setState( ::briarfield::wire::ServerState value) {
+  _builder.setDataField< ::briarfield::wire::ServerState>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AgentStatus::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AgentStatus::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void AgentStatus::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AgentStatus::Reader::getFlows() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AgentStatus::Builder::getFlows() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void AgentStatus::Builder::setFlows( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline float AgentStatus::Reader::getBusy() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline float AgentStatus::Builder::getBusy() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void AgentStatus::Builder::setBusy(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AgentStatus::Reader::getWarmup() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AgentStatus::Builder::getWarmup() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void AgentStatus::Builder::setWarmup( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AgentStatus::Reader::getRestarting() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
+}
+
+inline bool AgentStatus::Builder::getRestarting() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
+}
+inline void AgentStatus::Builder::setRestarting(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t AgentStatus::Reader::getServiceTime() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t AgentStatus::Builder::getServiceTime() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void AgentStatus::Builder::setServiceTime( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AgentStatus::Reader::getFlowsComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<145>() * ::capnp::ELEMENTS);
+}
+
+inline bool AgentStatus::Builder::getFlowsComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<145>() * ::capnp::ELEMENTS);
+}
+inline void AgentStatus::Builder::setFlowsComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<145>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t AgentStatus::Reader::getOpeningRoom() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, 65535u);
+}
+
+inline  ::uint16_t AgentStatus::Builder::getOpeningRoom() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, 65535u);
+}
+inline void AgentStatus::Builder::setOpeningRoom( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value, 65535u);
+}
+
+inline bool AgentStatus::Reader::hasRouteTimes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentStatus::Builder::hasRouteTimes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>::Reader AgentStatus::Reader::getRouteTimes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>::Builder AgentStatus::Builder::getRouteTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void AgentStatus::Builder::setRouteTimes( ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>::Builder AgentStatus::Builder::initRouteTimes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void AgentStatus::Builder::adoptRouteTimes(
+    ::capnp::Orphan< ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>> AgentStatus::Builder::disownRouteTimes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::RouteTime,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool RouteTime::Reader::hasDestination() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool RouteTime::Builder::hasDestination() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::briarfield::wire::Address::Reader RouteTime::Reader::getDestination() const {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::briarfield::wire::Address::Builder RouteTime::Builder::getDestination() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::briarfield::wire::Address::Pipeline RouteTime::Pipeline::getDestination() {
+  return  ::briarfield::wire::Address::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RouteTime::Builder::setDestination( ::briarfield::wire::Address::Reader value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::briarfield::wire::Address::Builder RouteTime::Builder::initDestination() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RouteTime::Builder::adoptDestination(
+    ::capnp::Orphan< ::briarfield::wire::Address>&& value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::briarfield::wire::Address> RouteTime::Builder::disownDestination() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t RouteTime::Reader::getServiceTime() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RouteTime::Builder::getServiceTime() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RouteTime::Builder::setServiceTime( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FlowHeld::Reader::hasSource() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FlowHeld::Builder::hasSource() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::briarfield::wire::Address::Reader FlowHeld::Reader::getSource() const {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::briarfield::wire::Address::Builder FlowHeld::Builder::getSource() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::briarfield::wire::Address::Pipeline FlowHeld::Pipeline::getSource() {
+  return  ::briarfield::wire::Address::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void FlowHeld::Builder::setSource( ::briarfield::wire::Address::Reader value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::briarfield::wire::Address::Builder FlowHeld::Builder::initSource() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FlowHeld::Builder::adoptSource(
+    ::capnp::Orphan< ::briarfield::wire::Address>&& value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::briarfield::wire::Address> FlowHeld::Builder::disownSource() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FlowHeld::Reader::hasDestination() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FlowHeld::Builder::hasDestination() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::briarfield::wire::Address::Reader FlowHeld::Reader::getDestination() const {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::briarfield::wire::Address::Builder FlowHeld::Builder::getDestination() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::briarfield::wire::Address::Pipeline FlowHeld::Pipeline::getDestination() {
+  return  ::briarfield::wire::Address::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void FlowHeld::Builder::setDestination( ::briarfield::wire::Address::Reader value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::briarfield::wire::Address::Builder FlowHeld::Builder::initDestination() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FlowHeld::Builder::adoptDestination(
+    ::capnp::Orphan< ::briarfield::wire::Address>&& value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::briarfield::wire::Address> FlowHeld::Builder::disownDestination() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t FlowHeld::Reader::getProtocol() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t FlowHeld::Builder::getProtocol() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AgentStatus::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void FlowHeld::Builder::setProtocol( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FlowHeld::Reader::hasAgent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool FlowHeld::Builder::hasAgent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::briarfield::wire::Address::Reader FlowHeld::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::briarfield::wire::Address::Builder FlowHeld::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::briarfield::wire::Address::Pipeline FlowHeld::Pipeline::getAgent() {
+  return  ::briarfield::wire::Address::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void FlowHeld::Builder::setAgent( ::briarfield::wire::Address::Reader value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::briarfield::wire::Address::Builder FlowHeld::Builder::initAgent() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void FlowHeld::Builder::adoptAgent(
+    ::capnp::Orphan< ::briarfield::wire::Address>&& value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::briarfield::wire::Address> FlowHeld::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool BalancerNotice::Reader::hasRelay() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BalancerNotice::Builder::hasRelay() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::briarfield::wire::Address::Reader BalancerNotice::Reader::getRelay() const {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::briarfield::wire::Address::Builder BalancerNotice::Builder::getRelay() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::briarfield::wire::Address::Pipeline BalancerNotice::Pipeline::getRelay() {
+  return  ::briarfield::wire::Address::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void BalancerNotice::Builder::setRelay( ::briarfield::wire::Address::Reader value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::briarfield::wire::Address::Builder BalancerNotice::Builder::initRelay() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BalancerNotice::Builder::adoptRelay(
+    ::capnp::Orphan< ::briarfield::wire::Address>&& value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::briarfield::wire::Address> BalancerNotice::Builder::disownRelay() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t AgentStatus::Reader::getSequence() const {
+inline  ::uint64_t BalancerNotice::Reader::getConfigVersion() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AgentStatus::Builder::getSequence() {
+inline  ::uint64_t BalancerNotice::Builder::getConfigVersion() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AgentStatus::Builder::setSequence( ::uint64_t value) {
+inline void BalancerNotice::Builder::setConfigVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AgentStatus::Reader::hasService() const {
+inline bool BalancerNotice::Reader::hasBalancers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool AgentStatus::Builder::hasService() {
+inline bool BalancerNotice::Builder::hasBalancers() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AgentStatus::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Reader BalancerNotice::Reader::getBalancers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AgentStatus::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Builder BalancerNotice::Builder::getBalancers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void AgentStatus::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void BalancerNotice::Builder::setBalancers( ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AgentStatus::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Builder BalancerNotice::Builder::initBalancers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void AgentStatus::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void BalancerNotice::Builder::adoptBalancers(
+    ::capnp::Orphan< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AgentStatus::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>> BalancerNotice::Builder::disownBalancers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool AgentStatus::Reader::hasZone() const {
+inline bool BalancerNotice::Reader::hasAgents() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool AgentStatus::Builder::hasZone() {
+inline bool BalancerNotice::Builder::hasAgents() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader AgentStatus::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Reader BalancerNotice::Reader::getAgents() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder AgentStatus::Builder::getZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Builder BalancerNotice::Builder::getAgents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void AgentStatus::Builder::setZone( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void BalancerNotice::Builder::setAgents( ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder AgentStatus::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline  ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Builder BalancerNotice::Builder::initAgents(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void AgentStatus::Builder::adoptZone(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void BalancerNotice::Builder::adoptAgents(
+    ::capnp::Orphan< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AgentStatus::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>> BalancerNotice::Builder::disownAgents() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::briarfield::wire::ServerState AgentStatus::Reader::getState() const {
-  return _reader.getDataField< ::briarfield::wire::ServerState>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool BalancerNotice::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
 
-inline  ::briarfield::wire::ServerState AgentStatus::Builder::getState() {
-  return _builder.getDataField< ::briarfield::wire::ServerState>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline bool BalancerNotice::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
 }
-inline void AgentStatus::Builder::setState( ::briarfield::wire::ServerState value) {
-  _builder.setDataField< ::briarfield::wire::ServerState>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void BalancerNotice::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t AgentStatus::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint64_t BalancerNotice::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t AgentStatus::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline  ::uint64_t BalancerNotice::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void AgentStatus::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline void BalancerNotice::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t AgentStatus::Reader::getFlows() const {
+inline  ::uint32_t BalancerNotice::Reader::getAgentCount() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t AgentStatus::Builder::getFlows() {
+inline  ::uint32_t BalancerNotice::Builder::getAgentCount() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void AgentStatus::Builder::setFlows( ::uint32_t value) {
+inline void BalancerNotice::Builder::setAgentCount( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline float AgentStatus::Reader::getBusy() const {
-  return _reader.getDataField<float>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline bool BalancerNotice::Reader::hasEvacuations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool BalancerNotice::Builder::hasEvacuations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::briarfield::wire::Evacuations::Reader BalancerNotice::Reader::getEvacuations() const {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Evacuations>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::briarfield::wire::Evacuations::Builder BalancerNotice::Builder::getEvacuations() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Evacuations>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::briarfield::wire::Evacuations::Pipeline BalancerNotice::Pipeline::getEvacuations() {
+  return  ::briarfield::wire::Evacuations::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void BalancerNotice::Builder::setEvacuations( ::briarfield::wire::Evacuations::Reader value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Evacuations>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::briarfield::wire::Evacuations::Builder BalancerNotice::Builder::initEvacuations() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Evacuations>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void BalancerNotice::Builder::adoptEvacuations(
+    ::capnp::Orphan< ::briarfield::wire::Evacuations>&& value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Evacuations>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::briarfield::wire::Evacuations> BalancerNotice::Builder::disownEvacuations() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Evacuations>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline float AgentStatus::Builder::getBusy() {
-  return _builder.getDataField<float>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline bool BalancerNotice::Reader::hasWarmupLimits() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void AgentStatus::Builder::setBusy(float value) {
-  _builder.setDataField<float>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline bool BalancerNotice::Builder::hasWarmupLimits() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>::Reader BalancerNotice::Reader::getWarmupLimits() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>::Builder BalancerNotice::Builder::getWarmupLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void BalancerNotice::Builder::setWarmupLimits( ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>::Builder BalancerNotice::Builder::initWarmupLimits(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void BalancerNotice::Builder::adoptWarmupLimits(
+    ::capnp::Orphan< ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>> BalancerNotice::Builder::disownWarmupLimits() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::WarmupLimit,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t AgentStatus::Reader::getWarmup() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Evacuations::Reader::getEra() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t AgentStatus::Builder::getWarmup() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Evacuations::Builder::getEra() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AgentStatus::Builder::setWarmup( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void Evacuations::Builder::setEra( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AgentStatus::Reader::getRestarting() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Evacuations::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool AgentStatus::Builder::getRestarting() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Evacuations::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Evacuations::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Evacuations::Reader::hasZones() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Evacuations::Builder::hasZones() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Evacuations::Reader::getZones() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Evacuations::Builder::getZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Evacuations::Builder::setZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Evacuations::Builder::setZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Evacuations::Builder::initZones(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Evacuations::Builder::adoptZones(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Evacuations::Builder::disownZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool WarmupLimit::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WarmupLimit::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WarmupLimit::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WarmupLimit::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WarmupLimit::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WarmupLimit::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void WarmupLimit::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WarmupLimit::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline float WarmupLimit::Reader::getPerSecond() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline float WarmupLimit::Builder::getPerSecond() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AgentStatus::Builder::setRestarting(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<144>() * ::capnp::ELEMENTS, value);
+inline void WarmupLimit::Builder::setPerSecond(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t AgentStatus::Reader::getServiceTime() const {
+inline  ::uint32_t WarmupLimit::Reader::getDuration() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t AgentStatus::Builder::getServiceTime() {
+inline  ::uint32_t WarmupLimit::Builder::getDuration() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void AgentStatus::Builder::setServiceTime( ::uint32_t value) {
+inline void WarmupLimit::Builder::setDuration( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FlowHeld::Reader::hasSource() const {
+inline bool FlowId::Reader::hasSource() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool FlowHeld::Builder::hasSource() {
+inline bool FlowId::Builder::hasSource() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::briarfield::wire::Address::Reader FlowHeld::Reader::getSource() const {
+inline  ::briarfield::wire::Address::Reader FlowId::Reader::getSource() const {
   return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::briarfield::wire::Address::Builder FlowHeld::Builder::getSource() {
+inline  ::briarfield::wire::Address::Builder FlowId::Builder::getSource() {
   return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::briarfield::wire::Address::Pipeline FlowHeld::Pipeline::getSource() {
+inline  ::briarfield::wire::Address::Pipeline FlowId::Pipeline::getSource() {
   return  ::briarfield::wire::Address::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void FlowHeld::Builder::setSource( ::briarfield::wire::Address::Reader value) {
+inline void FlowId::Builder::setSource( ::briarfield::wire::Address::Reader value) {
   ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::briarfield::wire::Address::Builder FlowHeld::Builder::initSource() {
+inline  ::briarfield::wire::Address::Builder FlowId::Builder::initSource() {
   return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FlowHeld::Builder::adoptSource(
+inline void FlowId::Builder::adoptSource(
     ::capnp::Orphan< ::briarfield::wire::Address>&& value) {
   ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::briarfield::wire::Address> FlowHeld::Builder::disownSource() {
+inline ::capnp::Orphan< ::briarfield::wire::Address> FlowId::Builder::disownSource() {
   return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FlowHeld::Reader::hasDestination() const {
+inline bool FlowId::Reader::hasDestination() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool FlowHeld::Builder::hasDestination() {
+inline bool FlowId::Builder::hasDestination() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::briarfield::wire::Address::Reader FlowHeld::Reader::getDestination() const {
+inline  ::briarfield::wire::Address::Reader FlowId::Reader::getDestination() const {
   return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::briarfield::wire::Address::Builder FlowHeld::Builder::getDestination() {
+inline  ::briarfield::wire::Address::Builder FlowId::Builder::getDestination() {
   return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::briarfield::wire::Address::Pipeline FlowHeld::Pipeline::getDestination() {
+inline  ::briarfield::wire::Address::Pipeline FlowId::Pipeline::getDestination() {
   return  ::briarfield::wire::Address::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void FlowHeld::Builder::setDestination( ::briarfield::wire::Address::Reader value) {
+inline void FlowId::Builder::setDestination( ::briarfield::wire::Address::Reader value) {
   ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::briarfield::wire::Address::Builder FlowHeld::Builder::initDestination() {
+inline  ::briarfield::wire::Address::Builder FlowId::Builder::initDestination() {
   return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void FlowHeld::Builder::adoptDestination(
+inline void FlowId::Builder::adoptDestination(
     ::capnp::Orphan< ::briarfield::wire::Address>&& value) {
   ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::briarfield::wire::Address> FlowHeld::Builder::disownDestination() {
+inline ::capnp::Orphan< ::briarfield::wire::Address> FlowId::Builder::disownDestination() {
   return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t FlowHeld::Reader::getProtocol() const {
+inline  ::uint8_t FlowId::Reader::getProtocol() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t FlowHeld::Builder::getProtocol() {
+inline  ::uint8_t FlowId::Builder::getProtocol() {
   return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void FlowHeld::Builder::setProtocol( ::uint8_t value) {
+inline void FlowId::Builder::setProtocol( ::uint8_t value) {
   _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FlowHeld::Reader::hasAgent() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool FlowHeld::Builder::hasAgent() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::briarfield::wire::Address::Reader FlowHeld::Reader::getAgent() const {
-  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::briarfield::wire::Address::Builder FlowHeld::Builder::getAgent() {
-  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::briarfield::wire::Address::Pipeline FlowHeld::Pipeline::getAgent() {
-  return  ::briarfield::wire::Address::Pipeline(_typeless.getPointerField(2));
-}
-#endif  // !CAPNP_LITE
-inline void FlowHeld::Builder::setAgent( ::briarfield::wire::Address::Reader value) {
-  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::briarfield::wire::Address::Builder FlowHeld::Builder::initAgent() {
-  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void FlowHeld::Builder::adoptAgent(
-    ::capnp::Orphan< ::briarfield::wire::Address>&& value) {
-  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::briarfield::wire::Address> FlowHeld::Builder::disownAgent() {
-  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool BalancerNotice::Reader::hasRelay() const {
+inline bool FlowQuery::Reader::hasBalancer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool BalancerNotice::Builder::hasRelay() {
+inline bool FlowQuery::Builder::hasBalancer() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::briarfield::wire::Address::Reader BalancerNotice::Reader::getRelay() const {
+inline  ::briarfield::wire::Address::Reader FlowQuery::Reader::getBalancer() const {
   return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::briarfield::wire::Address::Builder BalancerNotice::Builder::getRelay() {
+inline  ::briarfield::wire::Address::Builder FlowQuery::Builder::getBalancer() {
   return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::briarfield::wire::Address::Pipeline BalancerNotice::Pipeline::getRelay() {
+inline  ::briarfield::wire::Address::Pipeline FlowQuery::Pipeline::getBalancer() {
   return  ::briarfield::wire::Address::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void BalancerNotice::Builder::setRelay( ::briarfield::wire::Address::Reader value) {
+inline void FlowQuery::Builder::setBalancer( ::briarfield::wire::Address::Reader value) {
   ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::briarfield::wire::Address::Builder BalancerNotice::Builder::initRelay() {
+inline  ::briarfield::wire::Address::Builder FlowQuery::Builder::initBalancer() {
   return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void BalancerNotice::Builder::adoptRelay(
+inline void FlowQuery::Builder::adoptBalancer(
     ::capnp::Orphan< ::briarfield::wire::Address>&& value) {
   ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::briarfield::wire::Address> BalancerNotice::Builder::disownRelay() {
+inline ::capnp::Orphan< ::briarfield::wire::Address> FlowQuery::Builder::disownBalancer() {
   return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t BalancerNotice::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t FlowQuery::Reader::getId() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t BalancerNotice::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t FlowQuery::Builder::getId() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void BalancerNotice::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void FlowQuery::Builder::setId( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool BalancerNotice::Reader::hasBalancers() const {
+inline bool FlowQuery::Reader::hasFlows() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool BalancerNotice::Builder::hasBalancers() {
+inline bool FlowQuery::Builder::hasFlows() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Reader BalancerNotice::Reader::getBalancers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>::Reader FlowQuery::Reader::getFlows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Builder BalancerNotice::Builder::getBalancers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>::Builder FlowQuery::Builder::getFlows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void BalancerNotice::Builder::setBalancers( ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void FlowQuery::Builder::setFlows( ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Builder BalancerNotice::Builder::initBalancers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>::Builder FlowQuery::Builder::initFlows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void BalancerNotice::Builder::adoptBalancers(
-    ::capnp::Orphan< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void FlowQuery::Builder::adoptFlows(
+    ::capnp::Orphan< ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>> BalancerNotice::Builder::disownBalancers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>> FlowQuery::Builder::disownFlows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::FlowId,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool BalancerNotice::Reader::hasAgents() const {
+inline bool FlowAnswer::Reader::hasAgent() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool BalancerNotice::Builder::hasAgents() {
+inline bool FlowAnswer::Builder::hasAgent() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Reader BalancerNotice::Reader::getAgents() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::briarfield::wire::Address::Reader FlowAnswer::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Builder BalancerNotice::Builder::getAgents() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::briarfield::wire::Address::Builder FlowAnswer::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void BalancerNotice::Builder::setAgents( ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::briarfield::wire::Address::Pipeline FlowAnswer::Pipeline::getAgent() {
+  return  ::briarfield::wire::Address::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>::Builder BalancerNotice::Builder::initAgents(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void FlowAnswer::Builder::setAgent( ::briarfield::wire::Address::Reader value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void BalancerNotice::Builder::adoptAgents(
-    ::capnp::Orphan< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::briarfield::wire::Address::Builder FlowAnswer::Builder::initAgent() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>> BalancerNotice::Builder::disownAgents() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::briarfield::wire::Address,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void FlowAnswer::Builder::adoptAgent(
+    ::capnp::Orphan< ::briarfield::wire::Address>&& value) {
+  ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::briarfield::wire::Address> FlowAnswer::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::Address>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool BalancerNotice::Reader::getLeaving() const {
+inline  ::uint32_t FlowAnswer::Reader::getId() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FlowAnswer::Builder::getId() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FlowAnswer::Builder::setId( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FlowAnswer::Reader::getComplete() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline bool BalancerNotice::Builder::getLeaving() {
+inline bool FlowAnswer::Builder::getComplete() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void BalancerNotice::Builder::setLeaving(bool value) {
+inline void FlowAnswer::Builder::setComplete(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t BalancerNotice::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool FlowAnswer::Reader::hasHeld() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t BalancerNotice::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool FlowAnswer::Builder::hasHeld() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void BalancerNotice::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader FlowAnswer::Reader::getHeld() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t BalancerNotice::Reader::getAgentCount() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder FlowAnswer::Builder::getHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t BalancerNotice::Builder::getAgentCount() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline void FlowAnswer::Builder::setHeld( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void BalancerNotice::Builder::setAgentCount( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void FlowAnswer::Builder::setHeld(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder FlowAnswer::Builder::initHeld(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FlowAnswer::Builder::adoptHeld(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> FlowAnswer::Builder::disownHeld() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline  ::briarfield::wire::DispatchDatagram::Which DispatchDatagram::Reader::which() const {
@@ -1293,6 +2624,114 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool DispatchDatagram::Reader::isQuery() const {
+  return which() == DispatchDatagram::QUERY;
+}
+inline bool DispatchDatagram::Builder::isQuery() {
+  return which() == DispatchDatagram::QUERY;
+}
+inline bool DispatchDatagram::Reader::hasQuery() const {
+  if (which() != DispatchDatagram::QUERY) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool DispatchDatagram::Builder::hasQuery() {
+  if (which() != DispatchDatagram::QUERY) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::briarfield::wire::FlowQuery::Reader DispatchDatagram::Reader::getQuery() const {
+  KJ_IREQUIRE((which() == DispatchDatagram::QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::FlowQuery>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::briarfield::wire::FlowQuery::Builder DispatchDatagram::Builder::getQuery() {
+  KJ_IREQUIRE((which() == DispatchDatagram::QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::FlowQuery>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DispatchDatagram::Builder::setQuery( ::briarfield::wire::FlowQuery::Reader value) {
+  _builder.setDataField<DispatchDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, DispatchDatagram::QUERY);
+  ::capnp::_::PointerHelpers< ::briarfield::wire::FlowQuery>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::briarfield::wire::FlowQuery::Builder DispatchDatagram::Builder::initQuery() {
+  _builder.setDataField<DispatchDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, DispatchDatagram::QUERY);
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::FlowQuery>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DispatchDatagram::Builder::adoptQuery(
+    ::capnp::Orphan< ::briarfield::wire::FlowQuery>&& value) {
+  _builder.setDataField<DispatchDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, DispatchDatagram::QUERY);
+  ::capnp::_::PointerHelpers< ::briarfield::wire::FlowQuery>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::briarfield::wire::FlowQuery> DispatchDatagram::Builder::disownQuery() {
+  KJ_IREQUIRE((which() == DispatchDatagram::QUERY),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::FlowQuery>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool DispatchDatagram::Reader::isAnswer() const {
+  return which() == DispatchDatagram::ANSWER;
+}
+inline bool DispatchDatagram::Builder::isAnswer() {
+  return which() == DispatchDatagram::ANSWER;
+}
+inline bool DispatchDatagram::Reader::hasAnswer() const {
+  if (which() != DispatchDatagram::ANSWER) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool DispatchDatagram::Builder::hasAnswer() {
+  if (which() != DispatchDatagram::ANSWER) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::briarfield::wire::FlowAnswer::Reader DispatchDatagram::Reader::getAnswer() const {
+  KJ_IREQUIRE((which() == DispatchDatagram::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::FlowAnswer>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::briarfield::wire::FlowAnswer::Builder DispatchDatagram::Builder::getAnswer() {
+  KJ_IREQUIRE((which() == DispatchDatagram::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::FlowAnswer>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DispatchDatagram::Builder::setAnswer( ::briarfield::wire::FlowAnswer::Reader value) {
+  _builder.setDataField<DispatchDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, DispatchDatagram::ANSWER);
+  ::capnp::_::PointerHelpers< ::briarfield::wire::FlowAnswer>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::briarfield::wire::FlowAnswer::Builder DispatchDatagram::Builder::initAnswer() {
+  _builder.setDataField<DispatchDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, DispatchDatagram::ANSWER);
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::FlowAnswer>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void DispatchDatagram::Builder::adoptAnswer(
+    ::capnp::Orphan< ::briarfield::wire::FlowAnswer>&& value) {
+  _builder.setDataField<DispatchDatagram::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, DispatchDatagram::ANSWER);
+  ::capnp::_::PointerHelpers< ::briarfield::wire::FlowAnswer>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::briarfield::wire::FlowAnswer> DispatchDatagram::Builder::disownAnswer() {
+  KJ_IREQUIRE((which() == DispatchDatagram::ANSWER),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::briarfield::wire::FlowAnswer>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/dispatch/flow_packet.cpp
+++ b/src/dispatch/flow_packet.cpp
@@ -15,8 +15,8 @@
 static_assert(std::size(kind_names) ==
               static_cast<std::size_t>(packet_kind::count_));
 
-constexpr std::string_view reason_names[] = {"not_taken", "other_service",
-                                             "draining", "silent", "busy"};
+constexpr std::string_view reason_names[] = {
+    "not_taken", "other_service", "draining", "silent", "busy", "warming"};
 static_assert(std::size(reason_names) ==
               static_cast<std::size_t>(return_reason::count_));
 
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -324,6 +324,17 @@
     dispatcher_.on_flow_held(held.key, held.agent);
 }
 
+/// Only agents are queried.
+void relay_balancer::on_message(const flow_query& /*query*/)
+{
+    ++malformed_;
+}
+
+void relay_balancer::on_message(const flow_answer& /*answer*/)
+{
+    ++malformed_;
+}
+
 void relay_balancer::on_message(const balancer_notice& notice)
 {
     if (notice.leaving)
--- a/test/control/dispatch_messages_test.cpp
+++ b/test/control/dispatch_messages_test.cpp
@@ -19,6 +19,9 @@
 {
     CPPUNIT_TEST_SUITE(dispatch_messages_test);
     CPPUNIT_TEST(status_round_trips);
+    CPPUNIT_TEST(status_without_room_is_not_limited);
+    CPPUNIT_TEST(queries_and_answers_round_trip);
+    CPPUNIT_TEST(notice_carries_evacuations_and_warmup_limits);
     CPPUNIT_TEST(held_flow_round_trips);
     CPPUNIT_TEST(notice_round_trips_and_fits_a_datagram);
     CPPUNIT_TEST(truncated_messages_are_rejected);
@@ -50,6 +53,9 @@
         s.requests_in_progress = 1.5F;
         s.warmup_ms = 900;
         s.restarting = true;
+        s.flows_complete = true;
+        s.opening_room = 7;
+        s.route_times = {{address(4, 443), std::chrono::milliseconds(25)}};
         const agent_status r = round_trip(s);
         CPPUNIT_ASSERT(r.relay_address == s.relay_address);
         CPPUNIT_ASSERT_EQUAL(s.incarnation, r.incarnation);
@@ -59,6 +65,54 @@
         CPPUNIT_ASSERT_EQUAL(s.requests_in_progress, r.requests_in_progress);
         CPPUNIT_ASSERT_EQUAL(s.warmup_ms, r.warmup_ms);
         CPPUNIT_ASSERT(r.restarting);
+        CPPUNIT_ASSERT(r.flows_complete);
+        CPPUNIT_ASSERT_EQUAL(s.opening_room, r.opening_room);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, r.route_times.size());
+        CPPUNIT_ASSERT(r.route_times[0].destination == address(4, 443));
+        CPPUNIT_ASSERT(r.route_times[0].service_time ==
+                       s.route_times[0].service_time);
+    }
+
+    /// Agents of earlier versions send neither; they must not count as limited.
+    void status_without_room_is_not_limited()
+    {
+        CPPUNIT_ASSERT_EQUAL(unlimited_openings,
+                             round_trip(agent_status()).opening_room);
+    }
+
+    void queries_and_answers_round_trip()
+    {
+        flow_query q;
+        q.balancer = address(9, 7720);
+        q.id = 5;
+        q.flows = {{address(1, 0).address, address(2, 0).address, 40001, 443,
+                    transport::tcp}};
+        const flow_query read_query = round_trip(q);
+        CPPUNIT_ASSERT(read_query.balancer == q.balancer);
+        CPPUNIT_ASSERT(read_query.flows == q.flows);
+        flow_answer a;
+        a.agent = address(3, 8172);
+        a.id = 5;
+        a.complete = true;
+        a.held = {0, 900};
+        const flow_answer read_answer = round_trip(a);
+        CPPUNIT_ASSERT(read_answer.agent == a.agent);
+        CPPUNIT_ASSERT(read_answer.complete);
+        CPPUNIT_ASSERT(read_answer.held == a.held);
+    }
+
+    void notice_carries_evacuations_and_warmup_limits()
+    {
+        balancer_notice n;
+        n.evacuations = {2, 530, {"zone-b"}};
+        n.warmup_limits = {{"datum-live", 4.5F, std::chrono::seconds(2)}};
+        const balancer_notice r = round_trip(n);
+        CPPUNIT_ASSERT_EQUAL(n.evacuations.era, r.evacuations.era);
+        CPPUNIT_ASSERT_EQUAL(n.evacuations.revision, r.evacuations.revision);
+        CPPUNIT_ASSERT(r.evacuations.zones == n.evacuations.zones);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, r.warmup_limits.size());
+        CPPUNIT_ASSERT_EQUAL(4.5F, r.warmup_limits[0].per_second);
+        CPPUNIT_ASSERT(r.warmup_limits[0].warmup == std::chrono::seconds(2));
     }
 
     void held_flow_round_trips()
