Agents report a server that never started as gone

Found on the way: an agent that stopped again before its server's first heartbeat left as unknown, and a second later searches no longer asked for its flows.

Change: a server that has sent nothing since the agent's start, for the silence limit, is reported as gone; an agent that restarts with an unknown server may hold flows for the restart timeout.

Result: two tests, both fail without the change; dispatch_test and relay_test pass.

--- a/src/dispatch/agent_directory.cpp
+++ b/src/dispatch/agent_directory.cpp
@@ -126,8 +126,10 @@
     if (agent.status.state == server_state::gone &&
         (agent.status.restarting || !alive(i)))
         return false;
-    // Its server has sent no heartbeat to it: there are no flows to wait for.
-    if (agent.status.state == server_state::unknown && !alive(i))
+    // Its server has sent no heartbeat to it: there are no flows to wait for,
+    // unless the agent restarts before it can have received one.
+    if (agent.status.state == server_state::unknown &&
+        !agent.status.restarting && !alive(i))
         return false;
     const duration time_since_heartbeat = clock_->now() - agent.last_heartbeat;
     return time_since_heartbeat <= (agent.status.restarting
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -122,9 +122,13 @@
 }
 
 /// A server that has timed out, has no capacity, has stopped without notice or
-/// fails its requests is reported as silent, so that it gets no new flows.
+/// fails its requests is reported as silent, so that it gets no new flows. One
+/// that has sent nothing since the agent's start is not running and holds no
+/// flows, so searches need not wait for its agent.
 server_state server_gate::reported_state() const
 {
+    if (server_->state() == server_state::unknown && server_->timed_out())
+        return server_state::gone;
     const bool unavailable = server_->timed_out() ||
                              server_rejects_openings() || ejection_.ejected();
     const bool may_run = server_->state() != server_state::gone;
--- a/test/dispatch/agent_directory_test.cpp
+++ b/test/dispatch/agent_directory_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(timeout_is_reported_once);
     CPPUNIT_TEST(expired_records_are_reused);
     CPPUNIT_TEST(peer_reported_agent_is_awaited_until_its_heartbeat);
+    CPPUNIT_TEST(agent_that_restarts_before_a_heartbeat_may_hold_flows);
     CPPUNIT_TEST_SUITE_END();
 
     manual_clock clock_;
@@ -90,6 +91,18 @@
         directory_.check();
         CPPUNIT_ASSERT(!directory_.awaits_peer_reported());
     }
+
+    /// An agent that was stopped twice in a row reported its server as unknown,
+    /// and open flows of that server were reset a second later.
+    void agent_that_restarts_before_a_heartbeat_may_hold_flows()
+    {
+        agent_status unknown = status(1, 7, 1);
+        unknown.state = server_state::unknown;
+        unknown.restarting = true;
+        directory_.on_heartbeat(unknown);
+        clock_.advance(2s);
+        CPPUNIT_ASSERT(directory_.may_hold_flows(0));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(agent_directory_test);
--- a/test/dispatch/server_gate_test.cpp
+++ b/test/dispatch/server_gate_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(new_incarnation_is_not_ejected);
     CPPUNIT_TEST(forced_opening_reaches_an_ejected_server);
     CPPUNIT_TEST(copy_of_a_delivered_opening_is_delivered);
+    CPPUNIT_TEST(server_that_never_started_is_reported_as_gone);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint32_t slots = 4;
@@ -282,6 +283,22 @@
         CPPUNIT_ASSERT(offer(forward_mode::opening_forced) ==
                        gate_event::offered);
     }
+
+    /// After a loss of power, agents whose server did not come back reported it
+    /// as silent when they were removed, and every search for a lost flow
+    /// waited 15 s for them.
+    void server_that_never_started_is_reported_as_gone()
+    {
+        server_registration other(clock_, "datum", 1900ms);
+        server_gate gate(clock_, other);
+        CPPUNIT_ASSERT(gate.status().state == server_state::unknown);
+        clock_.advance(2s);
+        CPPUNIT_ASSERT(gate.status().state == server_state::gone);
+        server_heartbeat heartbeat;
+        heartbeat.service = "datum";
+        CPPUNIT_ASSERT(other.on_heartbeat(heartbeat));
+        CPPUNIT_ASSERT(gate.status().state != server_state::gone);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_gate_test);
