Decide on evacuated zones and on openings of warming servers

Cause: an evacuated zone still got openings, and a server that starts cold got as many as its load seemed to allow, from all balancers together.

Change: evacuation_set holds the newest set by (era, revision); agent_directory and flow_dispatcher place no opening in its zones. opening_policy lets an agent return every opening while its zone is evacuated or not known to be served (refused_evacuated, reported as draining), and limits those of a cold server by warmup_limiter (refused_warming, reported as opening_room). Balancers count their placements against that room; if all servers lack room, the first two copies of an opening are dropped instead of reset. evacuation_follower reads and watches the set with document_follower. evacuated_zones and warmup_limit move from dispatch_messages.hpp to the library dispatch. All parts are off unless options enable them.

--- a/include/briarfield/control/dispatch_messages.hpp
+++ b/include/briarfield/control/dispatch_messages.hpp
@@ -2,6 +2,8 @@
 #define BRIARFIELD_CONTROL_DISPATCH_MESSAGES_HPP
 
 #include "briarfield/dispatch/agent_directory.hpp"
+#include "briarfield/dispatch/evacuation_set.hpp"
+#include "briarfield/dispatch/warmup_limiter.hpp"
 
 #include <string>
 #include <string_view>
@@ -18,23 +20,6 @@
     endpoint agent; ///< Address at which the agent receives frames.
 };
 
-/// \brief Zones whose servers get no new flows, as read from the store.
-struct evacuated_zones
-{
-    std::uint64_t era = 0;      ///< Of the store; see \ref store_era.
-    std::uint64_t revision = 0; ///< Of the store; 0: never read.
-    std::vector<std::string> zones;
-};
-
-/// \brief Limit of the openings that a server of a service takes while it
-/// warms up.
-struct warmup_limit
-{
-    std::string service;
-    float per_second = 0; ///< Openings that a warming server bears.
-    duration warmup{};    ///< From the start of a server.
-};
-
 /// \brief Sent by a balancer to an agent: asks which flows its server holds.
 struct flow_query
 {
@@ -66,7 +51,9 @@
     std::uint64_t incarnation = 0; ///< Differs for each start of the sender.
     std::uint32_t agent_count = 0; ///< Number of agents alive.
     evacuated_zones evacuations;
-    std::vector<warmup_limit> warmup_limits; ///< Of \ref config_version.
+    /// Of \ref config_version. To an agent: that of its service alone, also
+    /// if the configuration has none, so that the agent knows it.
+    std::vector<warmup_limit> warmup_limits;
 };
 
 /// \brief Content of a control datagram between balancers and agents.
--- a/include/briarfield/dispatch/agent_directory.hpp
+++ b/include/briarfield/dispatch/agent_directory.hpp
@@ -3,6 +3,7 @@
 
 #include "briarfield/core/clock.hpp"
 #include "briarfield/core/endpoint.hpp"
+#include "briarfield/dispatch/evacuation_set.hpp"
 #include "briarfield/dispatch/flow_packet.hpp"
 
 #include <chrono>
@@ -60,7 +61,8 @@
     bool restarting = false; ///< The agent stops; its server may keep running.
     /// The agent has a record of every flow that its server can hold.
     bool flows_complete = false;
-    /// Openings that the server may take within the next second.
+    /// Openings that the server may take within the next second. In the
+    /// directory, less those placed since the heartbeat.
     std::uint16_t opening_room = unlimited_openings;
     std::vector<route_time> route_times; ///< Empty in most heartbeats.
 };
@@ -152,7 +154,7 @@
     bool awaits_peer_reported() const;
 
     /// \brief Whether the agent's server takes new flows of service \a tag, or
-    /// is expected to once it has started.
+    /// is expected to once it has started, and is in no evacuated zone.
     bool takes_flows(agent_index i, service_tag tag) const;
 
     /// \brief Whether the agent's server belongs to service \a tag and is
@@ -160,9 +162,27 @@
     /// server takes.
     bool is_last_resort(agent_index i, service_tag tag) const;
 
+    /// \brief Whether the agent's server would take new flows of service
+    /// \a tag, but has no room for openings now because it warms up.
+    bool awaits_room(agent_index i, service_tag tag) const;
+
+    /// \brief Places no new flow in the zones of \a evacuations, which must
+    /// outlive the directory.
+    void set_evacuations(const evacuation_set& evacuations)
+    {
+        evacuations_ = &evacuations;
+    }
+
+    /// \brief Whether the zone of the agent's server is evacuated.
+    bool evacuated(agent_index i) const;
+
     /// \brief Counts a flow placed on \a i; the next heartbeat of \a i resets
     /// the count.
-    void record_placed(agent_index i) { ++records_[i].placed; }
+    void record_placed(agent_index i);
+
+    /// \brief Records that \a i returned an opening because its server warms
+    /// up: it has no room until its next heartbeat.
+    void record_warming(agent_index i) { records_[i].status.opening_room = 0; }
 
     /// \brief Records that \a i returned an opening because it is overloaded,
     /// with \a requests in progress or expected.
@@ -192,9 +212,11 @@
 
 private:
     agent_index allocate_record();
+    bool may_take(const record& agent, agent_index i, service_tag tag) const;
 
     const clock* clock_;
     options options_;
+    const evacuation_set* evacuations_ = nullptr;
     std::vector<record> records_;
     std::unordered_map<endpoint, agent_index, endpoint_hash> by_relay_address_;
     std::unordered_map<endpoint, time_point, endpoint_hash> peer_reported_;
--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -40,6 +40,9 @@
     dropped_reset, ///< A caller's reset of an unknown flow.
     /// Copy of a packet, kept for a search that goes on without it.
     dropped_kept,
+    /// The servers that would take the opening warm up and have no room now;
+    /// one of the caller's next copies finds some.
+    dropped_warming,
     count_
 };
 
@@ -152,6 +155,10 @@
         /// take on the least loaded server; otherwise an opening is rejected.
         /// The rest covers requests that take longer than the mean.
         double max_aim_fraction = 2.0 / 3;
+        /// If all servers warm up and have no room, this many copies of an
+        /// opening are dropped rather than reset: a server has room within a
+        /// second, and a caller spends its retries within milliseconds.
+        unsigned warming_copies = 2;
         /// Cached flows without a packet for this long are removed.
         duration idle_timeout = std::chrono::seconds(20);
     };
@@ -211,6 +218,7 @@
     static bool is_other_flow(const flow_location& location,
                               const flow_packet& packet);
     bool route_allows(const flow_key& key, agent_index agent) const;
+    bool awaits_room(const route_table::entry& route) const;
     dispatch_verdict place(const flow_packet& packet, flow_location& location);
     agent_index choose_for(const route_table::entry& route,
                            const flow_key& key,
--- a/include/briarfield/dispatch/route_table.hpp
+++ b/include/briarfield/dispatch/route_table.hpp
@@ -5,6 +5,7 @@
 #include "briarfield/core/endpoint.hpp"
 #include "briarfield/core/error.hpp"
 #include "briarfield/dispatch/flow_packet.hpp"
+#include "briarfield/dispatch/warmup_limiter.hpp"
 
 #include <cstdint>
 #include <string>
@@ -36,6 +37,8 @@
 {
     std::uint64_t version = 0;
     std::vector<dispatch_route> routes;
+    /// Of the services that have one.
+    std::vector<warmup_limit> warmup_limits;
 };
 
 /// \brief State of an address under the routes in force.
@@ -89,10 +92,15 @@
 
     route_status status(const endpoint& address) const;
 
+    /// \brief Limit of \a service; with 0 openings a second, which stands for
+    /// no limit, if the configuration has none.
+    warmup_limit limit_of(const std::string& service) const;
+
 private:
     std::uint64_t version_ = 0;
     std::unordered_map<endpoint, entry, endpoint_hash> entries_;
     std::unordered_set<endpoint, endpoint_hash> removed_;
+    std::vector<warmup_limit> warmup_limits_;
 };
 
 } // namespace briarfield
--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -5,6 +5,7 @@
 #include "briarfield/core/histogram.hpp"
 #include "briarfield/dispatch/agent_directory.hpp"
 #include "briarfield/dispatch/load_gauge.hpp"
+#include "briarfield/dispatch/opening_policy.hpp"
 #include "briarfield/dispatch/outlier_ejection.hpp"
 #include "briarfield/dispatch/server_registration.hpp"
 #include "briarfield/dispatch/service_time_gauge.hpp"
@@ -34,6 +35,8 @@
     refused_silent,      ///< Opening while the server has timed out.
     refused_busy,        ///< Opening while the server is overloaded.
     refused_failing,     ///< Opening while the server is ejected.
+    refused_evacuated,   ///< Opening while the zone is evacuated.
+    refused_warming,     ///< Opening beyond what a warming server takes.
     dropped_unknown_tag, ///< Returned with a tag from before the agent's start.
     probed,      ///< Probe delivered to the server; the label is "asked".
     reset_ended, ///< Probe returned by the server: the flow is lost.
@@ -69,10 +72,10 @@
 /// The agent runs beside its server, so outdated records of balancers do no
 /// harm here: it rejects openings for another service, and openings while the
 /// server drains, has stopped, has timed out or fails its requests (see
-/// \ref outlier_ejection). Packets of flows always pass, since the server is
-/// the authority on its flows. The agent's own records of flows serve its load
-/// gauge and notify balancers of the location of a flow; losing them breaks
-/// nothing.
+/// \ref outlier_ejection), and those that an \ref opening_policy forbids.
+/// Packets of flows always pass, since the server is the authority on its
+/// flows. The agent's own records of flows serve its load gauge and notify
+/// balancers of the location of a flow; losing them breaks nothing.
 class server_gate
 {
 public:
@@ -120,6 +123,10 @@
     {
     }
 
+    /// \brief Lets \a policy, which must outlive the gate, decide on openings,
+    /// too.
+    void set_opening_policy(opening_policy& policy) { policy_ = &policy; }
+
     /// \brief Decides on a packet from the balancer at \a from.
     gate_verdict on_balancer_packet(const flow_packet& packet,
                                     forward_info info,
@@ -160,7 +167,8 @@
     /// sequence.
     ///
     /// A server that has just returned an opening, or is ejected, is reported
-    /// as server_state::silent.
+    /// as server_state::silent; one of an evacuated zone as
+    /// server_state::draining.
     agent_status status();
 
     const counter_set<gate_event>& counters() const { return counters_; }
@@ -201,11 +209,13 @@
     void close(tracked_flow& record);
     void remove_flow(const flow_key& key);
     void record_returned(const flow_key& key);
+    void record_returned_opening();
     gate_verdict end_flow(const flow_packet& packet);
     bool was_delivered(const flow_key& key) const;
     bool has_sent_on(const flow_key& key) const;
     std::size_t expected_requests() const;
     bool overloaded() const;
+    opening_permission permission() const;
     bool server_rejects_openings() const;
     server_state reported_state() const;
     void record_delivered_opening();
@@ -217,6 +227,7 @@
 
     const clock* clock_;
     server_registration* server_;
+    opening_policy* policy_ = nullptr;
     /// When the server last returned an opening; cleared when it accepts one.
     time_point opening_returned_{};
     time_point last_flow_lost_{}; ///< When \ref on_flow_lost was last called.
--- a/include/briarfield/dispatch/server_registration.hpp
+++ b/include/briarfield/dispatch/server_registration.hpp
@@ -107,6 +107,12 @@
         return clock_->now() - last_heartbeat_;
     }
 
+    /// \brief When the last heartbeat of the server was received.
+    time_point last_heartbeat() const { return last_heartbeat_; }
+
+    /// \brief Time until the server runs at full speed.
+    duration warmup_left() const;
+
     /// \brief Called when the state, service or incarnation of the server
     /// changes.
     std::function<void()> on_change;
--- a/src/dispatch/agent_directory.cpp
+++ b/src/dispatch/agent_directory.cpp
@@ -149,16 +149,45 @@
 bool agent_directory::takes_flows(agent_index i, service_tag tag) const
 {
     const record& agent = records_[i];
-    const bool may_take = agent.status.state == server_state::ready ||
-                          agent.status.state == server_state::unknown;
-    return agent.tag == tag && may_take && !agent.status.restarting && alive(i);
+    return agent.status.opening_room > 0 && may_take(agent, i, tag);
+}
+
+bool agent_directory::awaits_room(agent_index i, service_tag tag) const
+{
+    const record& agent = records_[i];
+    return agent.status.opening_room == 0 && may_take(agent, i, tag);
+}
+
+bool agent_directory::may_take(const record& agent,
+                               agent_index i,
+                               service_tag tag) const
+{
+    const bool in_service = agent.status.state == server_state::ready ||
+                            agent.status.state == server_state::unknown;
+    return agent.tag == tag && in_service && !agent.status.restarting &&
+           !evacuated(i) && alive(i);
+}
+
+bool agent_directory::evacuated(agent_index i) const
+{
+    return evacuations_ != nullptr &&
+           evacuations_->contains(records_[i].status.zone);
+}
+
+void agent_directory::record_placed(agent_index i)
+{
+    record& agent = records_[i];
+    ++agent.placed;
+    std::uint16_t& room = agent.status.opening_room;
+    if (room != unlimited_openings && room > 0)
+        --room;
 }
 
 bool agent_directory::is_last_resort(agent_index i, service_tag tag) const
 {
     const record& agent = records_[i];
     return agent.tag == tag && agent.status.state == server_state::silent &&
-           !agent.status.restarting && alive(i);
+           !agent.status.restarting && !evacuated(i) && alive(i);
 }
 
 void agent_directory::check()
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -25,7 +25,8 @@
                                             "dropped_settling",
                                             "dropped_not_found",
                                             "dropped_reset",
-                                            "dropped_kept"};
+                                            "dropped_kept",
+                                            "dropped_warming"};
 static_assert(std::size(event_names) ==
               static_cast<std::size_t>(dispatch_event::count_));
 
@@ -105,6 +106,11 @@
     if (is_other_flow(*cached, packet))
         *cached = flow_location();
     cached->last_packet = now;
+    // The flow is open. Its agent would return the copy, and another server
+    // must not get it.
+    if (cached->state == location_state::confirmed &&
+        agents_->evacuated(cached->agent))
+        return drop(dispatch_event::dropped_settling);
     if (cached->agent == no_agent || !route_allows(packet.key, cached->agent))
         return place(packet, *cached);
     // A retransmission goes to the server chosen first, unless that server is
@@ -135,11 +141,24 @@
     return packet.retransmission_count == 0;
 }
 
-/// Whether the flow's route allows new flows to the server of \a agent.
+/// Whether the flow's route allows new flows to the server of \a agent, and
+/// its zone is not evacuated.
 bool flow_dispatcher::route_allows(const flow_key& key, agent_index agent) const
 {
     const route_table::entry* route = routes_->find(destination_of(key));
-    return route != nullptr && route->allows(agents_->at(agent).tag);
+    return route != nullptr && route->allows(agents_->at(agent).tag) &&
+           !agents_->evacuated(agent);
+}
+
+/// Whether a server of \a route will take openings once it has warmed up.
+bool flow_dispatcher::awaits_room(const route_table::entry& route) const
+{
+    for (std::size_t i = 0; i < agents_->size(); ++i)
+        for (const route_table::target& t : route.targets)
+            if (t.weight > 0 &&
+                agents_->awaits_room(static_cast<agent_index>(i), t.service))
+                return true;
+    return false;
 }
 
 dispatch_verdict flow_dispatcher::place(const flow_packet& packet,
@@ -150,6 +169,12 @@
         return drop(dispatch_event::dropped_no_route);
     service_tag service = 0;
     const agent_index agent = choose_for(*route, packet.key, location, service);
+    if (agent == no_agent && awaits_room(*route) &&
+        packet.retransmission_count < options_.warming_copies)
+    {
+        flows_.erase(packet.key);
+        return drop(dispatch_event::dropped_warming);
+    }
     if (agent == no_agent)
         return reject_opening(packet, location,
                               dispatch_event::refused_no_server);
@@ -344,6 +369,8 @@
         cached != nullptr ? *cached : flows_.insert(packet.key, clock_->now());
     if (info.reason == return_reason::busy && agent != no_agent)
         agents_->record_overloaded(agent, info.requests);
+    if (info.reason == return_reason::warming && agent != no_agent)
+        agents_->record_warming(agent);
     if (packet.kind == packet_kind::opening)
         return on_returned_opening(packet, location, agent, info.reason);
     const bool is_current = location.agent == agent;
--- a/src/dispatch/route_table.cpp
+++ b/src/dispatch/route_table.cpp
@@ -56,10 +56,21 @@
     for (const auto& [address, new_entry] : new_entries)
         removed_.erase(address);
     entries_ = std::move(new_entries);
+    warmup_limits_ = routes.warmup_limits;
     version_ = routes.version;
     return true;
 }
 
+warmup_limit route_table::limit_of(const std::string& service) const
+{
+    const auto found = std::find_if(
+        warmup_limits_.begin(), warmup_limits_.end(),
+        [&service](const warmup_limit& l) { return l.service == service; });
+    warmup_limit none;
+    none.service = service;
+    return found == warmup_limits_.end() ? none : *found;
+}
+
 const route_table::entry* route_table::find(const endpoint& address) const
 {
     const auto found = entries_.find(address);
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -19,6 +19,8 @@
                                             "refused_silent",
                                             "refused_busy",
                                             "refused_failing",
+                                            "refused_evacuated",
+                                            "refused_warming",
                                             "dropped_unknown_tag",
                                             "asked",
                                             "reset_ended"};
@@ -44,6 +46,11 @@
     if (opening && info.service != server_->tag())
         return reject(packet, from, gate_event::refused_service,
                       return_reason::other_service);
+    const opening_permission allowed =
+        opening ? permission() : opening_permission::granted;
+    if (allowed == opening_permission::evacuated)
+        return reject(packet, from, gate_event::refused_evacuated,
+                      return_reason::draining);
     if (opening && (server_->state() == server_state::draining ||
                     server_->state() == server_state::gone))
         return reject(packet, from, gate_event::refused_draining,
@@ -59,6 +66,9 @@
     if (may_reject && overloaded())
         return reject(packet, from, gate_event::refused_busy,
                       return_reason::busy);
+    if (allowed == opening_permission::warming)
+        return reject(packet, from, gate_event::refused_warming,
+                      return_reason::warming);
     if (opening)
         record_delivered_opening();
     const bool has_flow =
@@ -79,6 +89,12 @@
     return verdict;
 }
 
+opening_permission server_gate::permission() const
+{
+    return policy_ != nullptr ? policy_->permission()
+                              : opening_permission::granted;
+}
+
 /// Whether a copy of the flow's opening was delivered before: the server may
 /// have taken it, so that another server must not get the next copy.
 bool server_gate::was_delivered(const flow_key& key) const
@@ -128,14 +144,14 @@
     const bool unavailable = server_->timed_out() ||
                              server_rejects_openings() || ejection_.ejected();
     const bool may_run = server_->state() != server_state::gone;
+    if (may_run && permission() == opening_permission::evacuated)
+        return server_state::draining;
     return unavailable && may_run ? server_state::silent : server_->state();
 }
 
 agent_status server_gate::status()
 {
     const server_heartbeat& latest = server_->latest();
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        server_->time_since_last_heartbeat());
     agent_status reported;
     reported.service = latest.service;
     reported.state = reported_state();
@@ -143,10 +159,11 @@
     reported.flows = open_count_;
     reported.requests_in_progress = static_cast<float>(load_.mean());
     reported.service_time = service_time_.mean();
-    reported.warmup_ms =
-        latest.warmup_ms > age.count()
-            ? static_cast<std::uint32_t>(latest.warmup_ms - age.count())
-            : 0;
+    reported.warmup_ms = static_cast<std::uint32_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(server_->warmup_left())
+            .count());
+    if (policy_ != nullptr)
+        reported.opening_room = policy_->opening_room();
     return reported;
 }
 
@@ -157,6 +174,8 @@
            now - recent_openings_.front() >= first_request_timeout)
         recent_openings_.pop_front();
     recent_openings_.push_back(now);
+    if (policy_ != nullptr)
+        policy_->record_opening();
 }
 
 gate_verdict server_gate::reject(const flow_packet& packet,
@@ -264,7 +283,7 @@
         return verdict;
     }
     if (packet.kind == packet_kind::opening)
-        opening_returned_ = clock_->now();
+        record_returned_opening();
     else
         record_returned(packet.key);
     remove_flow(packet.key);
@@ -277,6 +296,14 @@
     return verdict;
 }
 
+/// The server has no capacity, or has stopped and may already run again.
+void server_gate::record_returned_opening()
+{
+    opening_returned_ = clock_->now();
+    if (policy_ != nullptr)
+        policy_->record_possible_restart();
+}
+
 /// A server returns no packet of a flow that it has. So it has lost this one,
 /// and probably all.
 void server_gate::record_returned(const flow_key& key)
@@ -286,6 +313,8 @@
     const time_point now = clock_->now();
     const bool recently = last_flow_lost_ != time_point{} &&
                           now - last_flow_lost_ < probe_interval;
+    if (was_answered && policy_ != nullptr)
+        policy_->record_possible_restart();
     if (!was_answered || recently)
         return;
     last_flow_lost_ = now;
--- a/src/dispatch/server_registration.cpp
+++ b/src/dispatch/server_registration.cpp
@@ -1,5 +1,7 @@
 #include "briarfield/dispatch/server_registration.hpp"
 
+#include <algorithm>
+
 namespace briarfield
 {
 
@@ -95,6 +97,12 @@
     notify_change();
 }
 
+duration server_registration::warmup_left() const
+{
+    const duration reported = std::chrono::milliseconds(latest_.warmup_ms);
+    return std::max(reported - time_since_last_heartbeat(), duration(0));
+}
+
 void server_registration::notify_change()
 {
     if (on_change)
