Follow evacuations and warm-up limits on the platform

Balancers follow it within store.evacuation_bound_ms and are not ready before they know the set. Notices carry the set to balancers and agents, and to each agent the limit of its service; a change of the set is sent to agents at once. An agent that has started gets a notice with its first heartbeat, since it takes no opening before.

--- a/include/briarfield/relay/relay_agent.hpp
+++ b/include/briarfield/relay/relay_agent.hpp
@@ -29,6 +29,9 @@
     std::vector<endpoint> seeds;   ///< Relay addresses of some balancers.
     std::string service;           ///< Service of the server by the settings.
     std::string zone;
+    /// Whether the agent takes no opening while its zone is evacuated.
+    bool follows_evacuations = false;
+    warmup_limiter::options warmup; ///< Limits openings of a cold server.
     /// The server is unresponsive when nothing was received from it for this
     /// long. After that, its address may serve another service.
     duration silence_limit = std::chrono::milliseconds(1900);
@@ -80,6 +83,7 @@
     std::size_t agent_count() const { return agent_count_; }
 
     const server_gate& gate() const { return gate_; }
+    const opening_policy& openings() const { return openings_; }
     const udp_socket& relay_socket() const { return *relay_; }
     const udp_socket& server_socket() const { return *from_server_; }
 
@@ -116,6 +120,7 @@
     void send_heartbeats();
     void send_status(const agent_status& status);
     void send_periodic_heartbeat();
+    void report_openings();
     void run_periodic_check();
 
     event_loop* loop_;
@@ -123,6 +128,7 @@
     packet_codec codec_;
     random_source* random_;
     server_registration server_;
+    opening_policy openings_;
     server_gate gate_;
     relay_peers balancers_;
     std::unique_ptr<udp_socket> relay_;
@@ -140,6 +146,9 @@
     /// Start time of the server incarnation that was probed last.
     std::uint64_t probed_start_ms_ = 0;
     bool reported_timed_out_ = false;
+    bool reported_limited_ = false; ///< Openings of the server are limited.
+    bool reported_awaiting_ = false;
+    time_point started_; ///< Of the agent.
     timer_id heartbeat_timer_ = 0;
     timer_id check_timer_ = 0;
     timer_id probe_timer_ = 0;
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -29,6 +29,8 @@
     std::vector<endpoint> seeds;   ///< Relay addresses of some balancers.
     std::uint64_t incarnation = 0; ///< Differs with each start.
     flow_dispatcher::options dispatch;
+    /// Whether new flows are kept out of evacuated zones.
+    bool follows_evacuations = false;
     /// Interval of notices to other balancers and to agents.
     duration notice_interval = std::chrono::seconds(1);
     /// The same while no agent is alive, to find those that the others track.
@@ -56,8 +58,12 @@
     /// \brief Puts \a routes in force if they are newer than the current ones.
     void update_routes(const route_set& routes);
 
-    /// \brief Whether flows can be served: routes are in force and at least one
-    /// agent is alive.
+    /// \brief Puts the evacuated zones in the store in force, unless newer ones
+    /// are known, and tells the agents.
+    void update_evacuations(const evacuated_zones& zones);
+
+    /// \brief Whether flows can be served: routes are in force, the evacuated
+    /// zones are known if they are followed, and at least one agent is alive.
     bool ready() const;
 
     /// \brief What is missing while not \ref ready; empty when ready.
@@ -68,6 +74,7 @@
 
     const flow_dispatcher& dispatcher() const { return dispatcher_; }
     const agent_directory& agents() const { return agents_; }
+    const evacuation_set& evacuations() const { return evacuations_; }
     std::uint64_t routes_version() const { return routes_.version(); }
     const udp_socket& caller_socket() const { return *callers_; }
     const udp_socket& relay_socket() const { return *relay_; }
@@ -121,7 +128,12 @@
     };
 
     balancer_notice make_notice(notice_content content);
+    void on_evacuation(const std::string& zone, bool evacuated);
+    void check_unknown_zones();
+    std::size_t agents_in(const std::string& zone) const;
+    std::string notice_to_agent(const agent_directory::record& agent);
     void send_notice(const endpoint& to, const balancer_notice& notice);
+    notice_plan current_plan();
     void send_notices();
     void send_notices_to_balancers(const notice_plan& plan);
     void send_notices_to_agents(const notice_plan& plan);
@@ -131,6 +143,7 @@
     relay_balancer_options options_;
     packet_codec codec_;
     route_table routes_;
+    evacuation_set evacuations_;
     agent_directory agents_;
     flow_dispatcher dispatcher_;
     relay_peers peers_;
@@ -146,6 +159,7 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     timer_id notice_timer_ = 0;
     timer_id check_timer_ = 0;
+    timer_id unknown_zone_timer_ = 0;
 };
 
 } // namespace briarfield
--- a/src/app/settings_table.cpp
+++ b/src/app/settings_table.cpp
@@ -48,7 +48,9 @@
         .range("0", "300000")
         .doc("Time in ms within which a balancer of the relay places no more "
              "flows in a zone whose evacuation was written to the store. 0: "
-             "evacuations are not followed."),
+             "evacuations are not followed. Positive at agents, too: an agent "
+             "then takes no opening before a balancer has told it the "
+             "evacuated zones."),
 
     row("keys", "overlay", &settings::overlay_key_file)
         .is_secret()
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -15,6 +15,10 @@
 
 constexpr duration check_interval = 500ms;
 
+/// An agent that follows evacuations hears of them within a notice interval of
+/// its start; after this time it logs that it still takes no opening.
+constexpr duration evacuations_expected_within = 3s;
+
 /// Probes are sent to the server in batches with an interval between them: 64
 /// probes per interval take less than a tenth of a small instance's processor.
 constexpr std::size_t probe_batch_size = 64;
@@ -43,9 +47,14 @@
                                 options.service,
                                 options.silence_limit,
                                 options.server),
+      openings_(loop.timers().time_source(),
+                {options.zone, options.follows_evacuations, options.warmup},
+                server_),
       gate_(loop.timers().time_source(), server_),
-      balancers_(loop.timers().time_source()), incarnation_(random.next())
+      balancers_(loop.timers().time_source()), incarnation_(random.next()),
+      started_(loop.timers().now())
 {
+    gate_.set_opening_policy(openings_);
     add_seeds(options_.seeds);
     set_log_hooks();
 }
@@ -104,6 +113,13 @@
                      heartbeat.sequence, heartbeat.slots);
         on_server_change();
     };
+    openings_.on_change = [this](bool drains)
+    {
+        spdlog::info("event={} zone={} flows={}",
+                     drains ? "zone_evacuated" : "zone_serves", options_.zone,
+                     gate_.open_flows());
+        send_heartbeats();
+    };
     gate_.on_flow_lost = [this]
     {
         spdlog::warn("event=server_lost_flow server={} heard_ms={}",
@@ -304,6 +320,9 @@
         return balancers_.on_leave(notice.relay);
     }
     last_notice_ = loop_->timers().now();
+    openings_.apply_evacuations(notice.evacuations);
+    for (const warmup_limit& limit : notice.warmup_limits)
+        openings_.apply_limit(notice.config_version, limit);
     const bool is_new = balancers_.on_notice(notice.relay, notice.incarnation);
     if (is_new)
         spdlog::info("event=balancer_heard balancer={}",
@@ -362,9 +381,29 @@
            loop_->timers().now() - last_notice_ > options_.notice_timeout;
 }
 
+void relay_agent::report_openings()
+{
+    const bool limited = openings_.opening_room() != unlimited_openings;
+    if (limited != reported_limited_)
+    {
+        reported_limited_ = limited;
+        spdlog::info("event={} server={} service={} warmup_ms={}",
+                     limited ? "openings_limited" : "openings_unlimited",
+                     server_.latest().id, server_.service(),
+                     whole_ms(server_.warmup_left()));
+    }
+    const bool awaiting =
+        openings_.awaits_evacuations() &&
+        loop_->timers().now() - started_ > evacuations_expected_within;
+    if (awaiting && !reported_awaiting_)
+        spdlog::warn("event=evacuations_awaited zone={}", options_.zone);
+    reported_awaiting_ = awaiting;
+}
+
 void relay_agent::run_periodic_check()
 {
     gate_.expire();
+    report_openings();
     if (server_.timed_out() != reported_timed_out_)
     {
         reported_timed_out_ = server_.timed_out();
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -4,6 +4,7 @@
 #include "message_frame.hpp"
 
 #include <algorithm>
+#include <map>
 #include <spdlog/spdlog.h>
 
 namespace briarfield
@@ -27,6 +28,10 @@
 /// notifying agents.
 constexpr int missed_notices = 3;
 
+/// The agents of a zone have sent heartbeats within this time, also if the
+/// balancer has just started.
+constexpr duration unknown_zone_delay = 3s;
+
 /// Maximum packets kept to continue searches, one for each flow; with their
 /// payload they take less than 1 MB.
 constexpr std::size_t max_kept_packets = 512;
@@ -73,6 +78,7 @@
       peers_(loop.timers().time_source()), incarnation_(options.incarnation)
 {
     add_seeds(options_.seeds);
+    agents_.set_evacuations(evacuations_);
     set_log_hooks();
 }
 
@@ -96,6 +102,7 @@
     *alive_ = false;
     loop_->timers().cancel(notice_timer_);
     loop_->timers().cancel(check_timer_);
+    loop_->timers().cancel(unknown_zone_timer_);
 }
 
 result<void> relay_balancer::open()
@@ -161,6 +168,8 @@
                      server_state_name(record.status.state),
                      record.status.incarnation, record.status.sequence);
     };
+    evacuations_.on_change = [this](const std::string& zone, bool evacuated)
+    { on_evacuation(zone, evacuated); };
     agents_.on_timeout =
         [](const agent_directory::record& record, duration silence)
     {
@@ -178,6 +187,50 @@
                  routes_.version(), routes_.size());
 }
 
+void relay_balancer::update_evacuations(const evacuated_zones& zones)
+{
+    const bool first = !evacuations_.known();
+    const std::vector<std::string> previous = evacuations_.current().zones;
+    if (!options_.follows_evacuations || !evacuations_.apply(zones))
+        return;
+    if (!first && previous == evacuations_.current().zones)
+        return;
+    // Agents take no opening against the set from now on, and those that have
+    // started take openings.
+    send_notices_to_agents(current_plan());
+    relay_->flush();
+}
+
+void relay_balancer::on_evacuation(const std::string& zone, bool evacuated)
+{
+    const evacuated_zones& current = evacuations_.current();
+    spdlog::info("event={} zone={} era={} revision={} agents={}",
+                 evacuated ? "zone_evacuated" : "zone_taken_back", zone,
+                 current.era, current.revision, agents_in(zone));
+    if (unknown_zone_timer_ == 0)
+        unknown_zone_timer_ = loop_->timers().schedule(
+            unknown_zone_delay, [this] { check_unknown_zones(); });
+}
+
+void relay_balancer::check_unknown_zones()
+{
+    unknown_zone_timer_ = 0;
+    for (const std::string& zone : evacuations_.current().zones)
+        if (zone != options_.dispatch.zone && agents_in(zone) == 0)
+            spdlog::warn("event=evacuated_zone_unknown zone={}", zone);
+}
+
+std::size_t relay_balancer::agents_in(const std::string& zone) const
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < agents_.size(); ++i)
+    {
+        const auto index = static_cast<agent_index>(i);
+        count += agents_.at(index).status.zone == zone ? 1 : 0;
+    }
+    return count;
+}
+
 bool relay_balancer::ready() const
 {
     return not_ready_reason().empty();
@@ -187,6 +240,8 @@
 {
     if (routes_.version() == 0)
         return "no routes yet";
+    if (options_.follows_evacuations && !evacuations_.known())
+        return "evacuated zones not known yet";
     return agents_.count_alive() > 0 ? "" : "no agent is alive";
 }
 
@@ -313,10 +368,16 @@
 void relay_balancer::on_message(const agent_status& status)
 {
     const agent_index known_agent = agents_.find(status.relay_address);
-    if (!agents_.on_heartbeat(status) || known_agent != no_agent)
+    const bool started =
+        known_agent == no_agent ||
+        agents_.at(known_agent).status.incarnation != status.incarnation;
+    if (!agents_.on_heartbeat(status) || !started)
         return;
-    // An agent discovers all balancers from the first one that replies.
-    send_notice(status.relay_address, make_notice(notice_content::balancers));
+    // An agent discovers all balancers from the first one that replies, and
+    // takes no opening before it knows the evacuated zones.
+    relay_->queue_copy(status.relay_address,
+                       bytes_of(notice_to_agent(
+                           agents_.at(agents_.find(status.relay_address)))));
 }
 
 void relay_balancer::on_message(const flow_held_message& held)
@@ -347,6 +408,8 @@
     if (is_new)
         spdlog::info("event=balancer_heard balancer={} routes={}",
                      notice.relay.to_string(), notice.config_version);
+    if (notice.evacuations.revision > 0)
+        update_evacuations(notice.evacuations);
     const bool lacks_agents =
         notice.agent_count == 0 && agents_.count_alive() > 0;
     if (is_new || lacks_agents)
@@ -376,6 +439,7 @@
     notice.incarnation = incarnation_;
     notice.config_version = routes_.version();
     notice.agent_count = static_cast<std::uint32_t>(agents_.count_alive());
+    notice.evacuations = evacuations_.current();
     if (content == notice_content::no_lists)
         return notice;
     notice.balancers = next_addresses(peers_.alive(), next_listed_balancer_);
@@ -396,11 +460,26 @@
     relay_->queue_copy(to, bytes_of(message_frame(notice)));
 }
 
+/// The notice that tells an agent the balancers, and the limit of the openings
+/// of its server.
+std::string
+relay_balancer::notice_to_agent(const agent_directory::record& agent)
+{
+    balancer_notice notice = make_notice(notice_content::balancers);
+    if (routes_.version() > 0)
+        notice.warmup_limits = {routes_.limit_of(agent.status.service)};
+    return message_frame(notice);
+}
+
+notice_plan relay_balancer::current_plan()
+{
+    return {options_.relay,
+            peers_.heard_within(missed_notices * options_.notice_interval)};
+}
+
 void relay_balancer::send_notices()
 {
-    const notice_plan plan(
-        options_.relay,
-        peers_.heard_within(missed_notices * options_.notice_interval));
+    const notice_plan plan = current_plan();
     send_notices_to_balancers(plan);
     send_notices_to_agents(plan);
     relay_->flush();
@@ -426,14 +505,18 @@
 
 void relay_balancer::send_notices_to_agents(const notice_plan& plan)
 {
-    const std::string frame =
-        message_frame(make_notice(notice_content::balancers));
+    // One frame for the agents of each service.
+    std::map<service_tag, std::string> frames;
     for (std::size_t i = 0; i < agents_.size(); ++i)
     {
         const auto index = static_cast<agent_index>(i);
-        const endpoint& agent = agents_.at(index).status.relay_address;
-        if (agents_.alive(index) && plan.notifies(agent))
-            relay_->queue_copy(agent, bytes_of(frame));
+        const agent_directory::record& agent = agents_.at(index);
+        if (!agents_.alive(index) || !plan.notifies(agent.status.relay_address))
+            continue;
+        std::string& frame = frames[agent.tag];
+        if (frame.empty())
+            frame = notice_to_agent(agent);
+        relay_->queue_copy(agent.status.relay_address, bytes_of(frame));
     }
 }
 
--- a/test/platform/records_test.cpp
+++ b/test/platform/records_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(routes_are_read);
     CPPUNIT_TEST(only_malformed_routes_are_omitted);
     CPPUNIT_TEST(malformed_configurations_are_rejected);
+    CPPUNIT_TEST(warmup_limits_are_read);
     CPPUNIT_TEST_SUITE_END();
 
     static route_set routes_of(const json& routes, std::size_t& unreadable)
@@ -49,6 +50,31 @@
         return read.value();
     }
 
+    /// A service without a positive WarmupPerS has no limit, and a malformed
+    /// one does not invalidate the others. Rounding must not raise a limit.
+    void warmup_limits_are_read()
+    {
+        const json body = {
+            {"Version", 7},
+            {"Routes", json::array()},
+            {"Services",
+             {{{"Name", "a"}, {"WarmupS", 2.0}, {"WarmupPerS", 0.1}},
+              {{"Name", "b"}, {"WarmupS", 2.0}, {"WarmupPerS", 0.0}},
+              {{"Name", "c"}, {"WarmupS", 2.0}},
+              {{"Name", "d"}, {"WarmupPerS", "many"}},
+              {{"WarmupPerS", 3.0}},
+              7}}};
+        std::size_t unreadable = 0;
+        const auto read = read_configuration(body.dump(), unreadable);
+        CPPUNIT_ASSERT(read);
+        const auto& limits = read.value().warmup_limits;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, limits.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), limits[0].service);
+        CPPUNIT_ASSERT(limits[0].per_second <= 0.1);
+        CPPUNIT_ASSERT(limits[0].per_second > 0.0999);
+        CPPUNIT_ASSERT(limits[0].warmup == std::chrono::seconds(2));
+    }
+
     void heartbeat_is_read()
     {
         const auto heartbeat =
--- a/test/relay/relay_path_test.cpp
+++ b/test/relay/relay_path_test.cpp
@@ -42,6 +42,10 @@
     CPPUNIT_TEST(restarted_agent_resets_flows_of_a_stopped_server);
     CPPUNIT_TEST(restarted_agent_keeps_open_flows);
     CPPUNIT_TEST(malformed_datagrams_are_ignored);
+    CPPUNIT_TEST(evacuated_zone_receives_no_opening);
+    CPPUNIT_TEST(restarted_agent_awaits_the_evacuated_zones);
+    CPPUNIT_TEST(agent_learns_the_limit_of_a_warming_server);
+    CPPUNIT_TEST(balancer_learns_the_evacuated_zones_from_a_peer);
     CPPUNIT_TEST_SUITE_END();
 
     manual_clock clock_;
@@ -51,6 +55,8 @@
     std::unique_ptr<udp_socket> caller_;
     std::unique_ptr<relay_agent> agent_;
     std::unique_ptr<relay_balancer> balancer_;
+    bool follows_evacuations_ = false;
+    warmup_limiter::options warmup_;
     bool returns_all_ = false; ///< The server returns every packet.
     std::vector<packet> at_server_;
     std::vector<packet> at_caller_;
@@ -66,10 +72,7 @@
                    { at_caller_.push_back(read_packet(datagram).value()); });
         start_balancer();
         start_agent();
-        route_set routes;
-        routes.version = 1;
-        routes.routes = {{local("198.18.0.1:443"), {{"a", 1}}}};
-        balancer_->update_routes(routes);
+        apply_routes({});
         run_until([this] { return balancer_->ready(); });
     }
 
@@ -94,12 +97,22 @@
                 .value());
     }
 
+    void apply_routes(const std::vector<warmup_limit>& limits)
+    {
+        route_set routes;
+        routes.version = balancer_->routes_version() + 1;
+        routes.routes = {{local("198.18.0.1:443"), {{"a", 1}}}};
+        routes.warmup_limits = limits;
+        balancer_->update_routes(routes);
+    }
+
     void start_balancer()
     {
         relay_balancer_options options;
         options.callers = local("127.0.0.1:0");
         options.relay = local("127.0.0.1:0");
         options.caller_port = caller_->local().port;
+        options.follows_evacuations = follows_evacuations_;
         balancer_ =
             std::move(relay_balancer::create(
                           *loop_, options, make_packet_codec(), place_by_load())
@@ -115,6 +128,9 @@
         options.caller_port = caller_->local().port;
         options.seeds = {balancer_->relay_socket().local()};
         options.service = "a";
+        options.zone = "z";
+        options.follows_evacuations = follows_evacuations_;
+        options.warmup = warmup_;
         agent_ = std::move(
             relay_agent::create(*loop_, options, make_packet_codec(), random_)
                 .value());
@@ -297,6 +313,83 @@
         CPPUNIT_ASSERT(!caller_was_reset());
     }
 
+    void restart_following_evacuations()
+    {
+        follows_evacuations_ = true;
+        agent_.reset();
+        start_balancer();
+        start_agent();
+        apply_routes({});
+    }
+
+    /// The set must pass from the balancer to the agent without a periodic
+    /// notice, and back again.
+    void evacuated_zone_receives_no_opening()
+    {
+        restart_following_evacuations();
+        balancer_->update_evacuations({1, 1, {}});
+        run_until([this] { return balancer_->ready(); });
+        run_until([this] { return !agent_->openings().drains(); });
+        establish_flow();
+        const std::size_t received = at_server_.size();
+        balancer_->update_evacuations({1, 2, {"z"}});
+        const time_point start = clock_.now();
+        run_until([this] { return agent_->openings().drains(); });
+        run_until([this]
+                  { return reported_state() == server_state::draining; });
+        CPPUNIT_ASSERT(clock_.now() - start < 250ms);
+        send_from_caller(packet_flags::ack, "question");
+        run_until([&] { return at_server_.size() > received; });
+        balancer_->update_evacuations({1, 3, {}});
+        run_until([this] { return !agent_->openings().drains(); });
+    }
+
+    /// Its zone may be evacuated; a balancer that does not know, either, is not
+    /// ready.
+    void restarted_agent_awaits_the_evacuated_zones()
+    {
+        restart_following_evacuations();
+        advance_time(2s);
+        CPPUNIT_ASSERT(!balancer_->ready());
+        announce_server(0);
+        send_from_caller(packet_flags::syn, "");
+        advance_time(500ms);
+        CPPUNIT_ASSERT(at_server_.empty());
+        balancer_->update_evacuations({1, 1, {"other"}});
+        run_until([this] { return !agent_->openings().drains(); });
+        announce_server(1);
+        run_until([this] { return reported_state() == server_state::ready; });
+        CPPUNIT_ASSERT(balancer_->ready());
+        send_from_caller(packet_flags::syn, "");
+        await_caller(1);
+    }
+
+    void agent_learns_the_limit_of_a_warming_server()
+    {
+        warmup_ = {1.5, 5};
+        agent_.reset();
+        start_agent();
+        apply_routes({{"other", 50, 2s}, {"a", 2, 2s}});
+        run_until([this]
+                  { return agent_->openings().opening_room() == 3 + 5; });
+        apply_routes({});
+        run_until(
+            [this] {
+                return agent_->openings().opening_room() == unlimited_openings;
+            });
+    }
+
+    /// A balancer that cannot reach the store must get the set from others.
+    void balancer_learns_the_evacuated_zones_from_a_peer()
+    {
+        restart_following_evacuations();
+        const std::unique_ptr<relay_balancer> cut_off = std::move(balancer_);
+        start_balancer();
+        balancer_->add_seeds({cut_off->relay_socket().local()});
+        balancer_->update_evacuations({1, 7, {"x"}});
+        run_until([&] { return cut_off->evacuations().contains("x"); });
+    }
+
     void malformed_datagrams_are_ignored()
     {
         for (const auto& malformed :
