--- a/include/briarfield/dispatch/evacuation_set.hpp
+++ b/include/briarfield/dispatch/evacuation_set.hpp
@@ -12,7 +12,8 @@
 /// \brief Zones whose servers get no new flows, as read from the store.
 struct evacuated_zones
 {
-    std::uint64_t era = 0;      ///< Of the store; see \ref store_era.
+    /// Of the store; rises when it comes back from an older copy.
+    std::uint64_t era = 0;
     std::uint64_t revision = 0; ///< Of the store; 0: never read.
     std::vector<std::string> zones;
 };
--- a/test/dispatch/opening_policy_test.cpp
+++ b/test/dispatch/opening_policy_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(server_that_may_have_restarted_is_limited);
     CPPUNIT_TEST(restarted_agent_takes_no_opening_in_its_first_second);
     CPPUNIT_TEST(only_the_slack_without_a_limit);
+    CPPUNIT_TEST(limit_of_another_service_is_ignored);
     CPPUNIT_TEST(older_limit_does_not_replace_a_newer_one);
     CPPUNIT_TEST(service_without_limit_takes_all);
     CPPUNIT_TEST(disabled_parts_have_no_effect);
@@ -236,6 +237,15 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_taken(10));
     }
 
+    /// A notice sent before the server's service changed must not replace its
+    /// limit.
+    void limit_of_another_service_is_ignored()
+    {
+        send_heartbeat(60000);
+        policy_->apply_limit(9, {"other", 0, 0s});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, count_taken(10));
+    }
+
     void older_limit_does_not_replace_a_newer_one()
     {
         send_heartbeat(60000);
--- a/test/relay/relay_path_test.cpp
+++ b/test/relay/relay_path_test.cpp
@@ -332,6 +332,10 @@
         run_until([this] { return !agent_->openings().drains(); });
         establish_flow();
         const std::size_t received = at_server_.size();
+        // The next periodic heartbeat follows after more than 250 ms.
+        const time_point last = balancer_->agents().at(0).last_heartbeat;
+        run_until([&]
+                  { return balancer_->agents().at(0).last_heartbeat != last; });
         balancer_->update_evacuations({1, 2, {"z"}});
         const time_point start = clock_.now();
         run_until([this] { return agent_->openings().drains(); });
