Build the notice to agents once a round

Cause: a notice was built anew for each service, and each time all agents were counted; with hundreds of services that is most of the work of a round.

Change: the notice is built once, and only its limit differs by service.

Result: relay_test 42 tests pass; without the limit or the notice after a change agent_learns_the_limit_of_a_warming_server and evacuated_zone_receives_no_opening fail.

--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -131,7 +131,8 @@
     void on_evacuation(const std::string& zone, bool evacuated);
     void check_unknown_zones();
     std::size_t agents_in(const std::string& zone) const;
-    std::string notice_to_agent(const agent_directory::record& agent);
+    std::string frame_for(balancer_notice notice,
+                          const agent_directory::record& agent) const;
     void send_notice(const endpoint& to, const balancer_notice& notice);
     notice_plan current_plan();
     void send_notices();
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -375,9 +375,11 @@
         return;
     // An agent discovers all balancers from the first one that replies, and
     // takes no opening before it knows the evacuated zones.
-    relay_->queue_copy(status.relay_address,
-                       bytes_of(notice_to_agent(
-                           agents_.at(agents_.find(status.relay_address)))));
+    const agent_index agent = agents_.find(status.relay_address);
+    relay_->queue_copy(
+        status.relay_address,
+        bytes_of(frame_for(make_notice(notice_content::balancers),
+                           agents_.at(agent))));
 }
 
 void relay_balancer::on_message(const flow_held_message& held)
@@ -460,12 +462,12 @@
     relay_->queue_copy(to, bytes_of(message_frame(notice)));
 }
 
-/// The notice that tells an agent the balancers, and the limit of the openings
-/// of its server.
+/// Encodes \a notice for \a agent, with the limit of the openings of its
+/// server.
 std::string
-relay_balancer::notice_to_agent(const agent_directory::record& agent)
+relay_balancer::frame_for(balancer_notice notice,
+                          const agent_directory::record& agent) const
 {
-    balancer_notice notice = make_notice(notice_content::balancers);
     if (routes_.version() > 0)
         notice.warmup_limits = {routes_.limit_of(agent.status.service)};
     return message_frame(notice);
@@ -505,6 +507,7 @@
 
 void relay_balancer::send_notices_to_agents(const notice_plan& plan)
 {
+    const balancer_notice notice = make_notice(notice_content::balancers);
     // One frame for the agents of each service.
     std::map<service_tag, std::string> frames;
     for (std::size_t i = 0; i < agents_.size(); ++i)
@@ -515,7 +518,7 @@
             continue;
         std::string& frame = frames[agent.tag];
         if (frame.empty())
-            frame = notice_to_agent(agent);
+            frame = frame_for(notice, agent);
         relay_->queue_copy(agent.status.relay_address, bytes_of(frame));
     }
 }
