HTTP requests have limits on the time without progress

http_request gets response_timeout (until the first part of the body), progress_timeout (between two parts) and on_progress, beside the limit of the whole exchange; and response_header, which names one header to copy to the response. All are off by default. A part that arrives after the exchange has failed closes the connection.

--- a/include/briarfield/net/http_client.hpp
+++ b/include/briarfield/net/http_client.hpp
@@ -24,7 +24,16 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
     duration timeout = std::chrono::seconds(5); ///< For the whole exchange.
-    std::size_t body_limit = 1U << 22U;         ///< Bytes of the response.
+    /// Until the first part of the response body; 0: only \ref timeout.
+    duration response_timeout{};
+    /// Between two parts of the response body; 0: only \ref timeout.
+    duration progress_timeout{};
+    /// Called for each part of the response body; may be empty.
+    std::function<void()> on_progress;
+    /// Header to copy to http_response::header, in lower case with a trailing
+    /// colon; empty: none.
+    std::string response_header;
+    std::size_t body_limit = 1U << 22U; ///< Bytes of the response.
 };
 
 /// \brief A complete HTTP response.
@@ -33,6 +42,7 @@
     int status = 0;
     std::string body;        ///< Empty if passed to a chunk_handler.
     std::string retry_after; ///< Retry-After header, if present.
+    std::string header;      ///< http_request::response_header, if present.
 };
 
 /// \brief HTTP/1.1 client on an event loop; opens a connection per request.
@@ -56,7 +66,8 @@
     ///
     /// Errors: errc::store_unreachable if the connection failed before the
     /// request was sent, errc::store_outcome_unknown if it failed afterwards,
-    /// errc::store_timeout, errc::store_protocol if the body exceeds
+    /// errc::store_timeout if a time limit of the request has passed,
+    /// errc::store_protocol if the body exceeds
     /// http_request::body_limit, errc::tls_failed if the TLS files cannot be
     /// used.
     using done_handler = std::function<void(result<http_response>)>;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -83,15 +83,9 @@
     void connect(const options& opts, lws_vhost* vhost)
     {
         self_reference_ = shared_from_this();
-        timer_ = loop_->timers().schedule(
-            request_.timeout,
-            [this]
-            {
-                timer_ = 0;
-                finish(fail(errc::store_timeout,
-                            request_.method + " " + request_.path));
-                close();
-            });
+        timer_ =
+            loop_->timers().schedule(request_.timeout, [this] { time_out(); });
+        expect_progress_within(request_.response_timeout);
         host_ = host_header(opts);
         lws_client_connect_info info{};
         info.context = loop_->native();
@@ -135,7 +129,8 @@
             response_.status =
                 static_cast<int>(lws_http_client_http_response(wsi));
             read_retry_after(wsi);
-            // The exchange's own timer limits the wait for the body.
+            read_response_header(wsi);
+            // The exchange's own timers limit the wait for the body.
             lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
             return 0;
         case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
@@ -168,7 +163,8 @@
     {
         done_ = {};
         on_chunk_ = {};
-        cancel_timer();
+        request_.on_progress = {};
+        cancel_timers();
         close();
     }
 
@@ -225,6 +221,21 @@
             response_.retry_after.assign(value, static_cast<std::size_t>(size));
     }
 
+    void read_response_header(lws* wsi)
+    {
+        const std::string& name = request_.response_header;
+        const auto name_size = static_cast<int>(name.size());
+        const int size =
+            name.empty() ? 0
+                         : lws_hdr_custom_length(wsi, name.c_str(), name_size);
+        if (size <= 0)
+            return;
+        std::vector<char> value(static_cast<std::size_t>(size) + 1);
+        if (lws_hdr_custom_copy(wsi, value.data(), size + 1, name.c_str(),
+                                name_size) > 0)
+            response_.header = value.data();
+    }
+
     int read_some(lws* wsi)
     {
         char buffer[LWS_PRE + read_buffer_size];
@@ -235,6 +246,11 @@
 
     int on_body(const char* data, std::size_t length)
     {
+        if (!done_)
+            return -1;
+        expect_progress_within(request_.progress_timeout);
+        if (request_.on_progress)
+            request_.on_progress();
         if (on_chunk_)
         {
             const auto keep_alive = self_reference_;
@@ -251,9 +267,26 @@
         return 0;
     }
 
+    /// Replaces the limit on the time without progress; 0: no limit.
+    void expect_progress_within(duration limit)
+    {
+        loop_->timers().cancel(progress_timer_);
+        progress_timer_ = 0;
+        if (limit > duration(0))
+            progress_timer_ =
+                loop_->timers().schedule(limit, [this] { time_out(); });
+    }
+
+    void time_out()
+    {
+        finish(
+            fail(errc::store_timeout, request_.method + " " + request_.path));
+        close();
+    }
+
     void report_connect_failure()
     {
-        cancel_timer();
+        cancel_timers();
         auto keep_alive = shared_from_this();
         loop_->timers().schedule(
             duration(0),
@@ -267,7 +300,7 @@
 
     void finish(result<http_response> outcome)
     {
-        cancel_timer();
+        cancel_timers();
         if (!done_)
             return;
         const done_handler done = std::move(done_);
@@ -275,11 +308,12 @@
         done(std::move(outcome));
     }
 
-    void cancel_timer()
+    void cancel_timers()
     {
-        if (timer_ != 0)
-            loop_->timers().cancel(timer_);
+        loop_->timers().cancel(timer_);
+        loop_->timers().cancel(progress_timer_);
         timer_ = 0;
+        progress_timer_ = 0;
     }
 
     void close()
@@ -295,7 +329,7 @@
         if (wsi != nullptr)
             lws_set_opaque_user_data(wsi, nullptr);
         wsi_ = nullptr;
-        cancel_timer();
+        cancel_timers();
         const auto reference = std::move(self_reference_);
         self_reference_.reset();
     }
@@ -307,7 +341,8 @@
     http_response response_;
     std::string host_;
     lws* wsi_ = nullptr;
-    timer_id timer_ = 0;
+    timer_id timer_ = 0;          ///< Limits the whole exchange.
+    timer_id progress_timer_ = 0; ///< Limits the time without progress.
     bool sent_ = false;
     std::shared_ptr<exchange> self_reference_;
 };
