Large configurations arrive over small links; processes follow the store's era

After a restore of the store from an older copy, records and checkpoints stayed lost, and a watch went on from a revision that had been assigned again.

--- a/include/briarfield/control/document_follower.hpp
+++ b/include/briarfield/control/document_follower.hpp
@@ -24,8 +24,9 @@
 /// \brief Duration of a watch.
 struct watch_limits
 {
-    duration wait{};    ///< The store responds after this without a change.
-    duration timeout{}; ///< The watch fails without a response until then.
+    duration wait{}; ///< The store responds after this without a change.
+    /// The watch fails if no part of a response has arrived until then.
+    duration timeout{};
 
     /// \brief Limits with which a change is read within \a bound although the
     /// connection of the watch was lost without notice: the watch fails after
@@ -57,13 +58,16 @@
     using handler = std::function<void(result<document_state>)>;
 
     /// \brief Calls to the store. Each calls its handler once, after it has
-    /// returned.
+    /// returned, unless the next call has ended it.
     struct calls
     {
         std::function<void(handler)> read;
         std::function<void(
             std::uint64_t revision, const watch_limits&, handler)>
             watch;
+        /// Whether a response to the last call is being received. May be
+        /// empty: such responses are discarded when a peer reports a change.
+        std::function<bool()> response_arriving;
     };
 
     document_follower(timer_queue& timers,
@@ -78,8 +82,12 @@
 
     /// \brief A peer has reported a change: reads the document after
     /// options::peer_notification_delay, unless the watch reports it earlier.
+    /// A response that is being received is waited for.
     void on_peer_notification();
 
+    /// \brief The store came back from an older copy: reads the document.
+    void on_store_restored();
+
     /// \brief Called with each body received by a read or a watch.
     std::function<void(const std::string&)> on_document;
 
@@ -89,6 +97,7 @@
     std::function<void(duration outage)> on_regained;
 
 private:
+    void on_peer_notification_due();
     void read();
     void watch();
     void on_response(const result<document_state>& outcome);
--- a/include/briarfield/relay/balancer_records.hpp
+++ b/include/briarfield/relay/balancer_records.hpp
@@ -17,7 +17,8 @@
 /// \brief Keeps the record of a balancer's relay address in the store, by which
 /// others find the balancer when none of their seeds responds.
 ///
-/// The record is written once, after the start. A stale record is harmless:
+/// The record is written once, after the start, and again after a restore of
+/// the store from an older copy. A stale record is harmless:
 /// whoever reads it sends a few datagrams to an address without a balancer.
 class balancer_record_writer
 {
@@ -52,7 +53,8 @@
     balancer_record_writer(const balancer_record_writer&) = delete;
     balancer_record_writer& operator=(const balancer_record_writer&) = delete;
 
-    /// \brief Writes the record, again after a failure.
+    /// \brief Writes the record at a random time within options::spread, again
+    /// after a failure. Does nothing after \ref remove.
     void start();
 
     /// \brief Removes the record: the balancer stops.
@@ -71,6 +73,7 @@
     backoff retry_backoff_;
     timer_id timer_ = 0;
     bool written_ = false;
+    bool removed_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/include/briarfield/relay/flow_checkpoint.hpp
+++ b/include/briarfield/relay/flow_checkpoint.hpp
@@ -24,6 +24,9 @@
     /// Fraction of \ref store_writes that checkpoints may use; the rest is left
     /// to the operators.
     double max_write_fraction = 0.05;
+    /// After a restore of the store, agents save at random times within this,
+    /// or within longer when many of them share the store.
+    duration restore_spread = std::chrono::seconds(2);
     /// Delays between attempts to load the checkpoint.
     backoff_options retry{std::chrono::milliseconds(100),
                           std::chrono::seconds(2)};
@@ -64,6 +67,10 @@
     /// \brief Loads the last checkpoint, then saves one in each interval.
     void start();
 
+    /// \brief The store came back from an older copy, in which the checkpoint
+    /// is missing or outdated: saves one soon.
+    void on_store_restored();
+
     /// \brief Stops saving and removes the checkpoint, once the server has
     /// terminated for good.
     void remove();
@@ -93,7 +100,9 @@
 private:
     void load();
     void on_load_outcome(const result<probes>& outcome);
+    duration fair_interval() const;
     void schedule_save();
+    void schedule_rewrite(duration spread);
     void save();
     void record_outcome(const result<void>& outcome);
 
@@ -105,7 +114,10 @@
     bool saving_ = false;
     bool may_be_stored_ = false; ///< The store may hold a checkpoint.
     bool store_failing_ = false;
+    bool loaded_ = false;
+    bool removed_ = false;
     timer_id timer_ = 0;
+    timer_id rewrite_timer_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/control/document_follower.cpp
+++ b/src/control/document_follower.cpp
@@ -30,12 +30,24 @@
         return;
     peer_notification_timer_ =
         timers_->schedule(options_.peer_notification_delay,
-                          [this]
-                          {
-                              peer_notification_timer_ = 0;
-                              if (!reading_ && !lost_)
-                                  read();
-                          });
+                          [this] { on_peer_notification_due(); });
+}
+
+/// A read ends the watch. If the response to the watch is being received, that
+/// would start the transfer again, which may take seconds on a slow link.
+void document_follower::on_peer_notification_due()
+{
+    peer_notification_timer_ = 0;
+    if (reading_ || lost_)
+        return;
+    if (store_.response_arriving && store_.response_arriving())
+        return on_peer_notification();
+    read();
+}
+
+void document_follower::on_store_restored()
+{
+    read();
 }
 
 void document_follower::read()
--- a/src/relay/balancer_records.cpp
+++ b/src/relay/balancer_records.cpp
@@ -34,6 +34,9 @@
 
 void balancer_record_writer::start()
 {
+    if (removed_)
+        return;
+    timers_->cancel(timer_);
     timer_ = timers_->schedule(random_duration(*random_, options_.spread),
                                [this] { write(); });
 }
@@ -49,6 +52,9 @@
                 return;
             if (on_failed)
                 on_failed(outcome.error());
+            if (removed_)
+                return;
+            timers_->cancel(timer_);
             timer_ = timers_->schedule(retry_backoff_.next(*random_),
                                        [this] { write(); });
         });
@@ -56,6 +62,7 @@
 
 void balancer_record_writer::remove()
 {
+    removed_ = true;
     timers_->cancel(timer_);
     if (written_)
         store_.remove();
--- a/src/relay/flow_checkpoint.cpp
+++ b/src/relay/flow_checkpoint.cpp
@@ -18,6 +18,7 @@
 {
     *alive_ = false;
     timers_->cancel(timer_);
+    timers_->cancel(rewrite_timer_);
 }
 
 void flow_checkpoint::start()
@@ -47,19 +48,53 @@
         return;
     }
     may_be_stored_ = !outcome.value().empty();
+    loaded_ = true;
     if (on_loaded)
         on_loaded(outcome.value());
     schedule_save();
 }
 
-duration flow_checkpoint::interval() const
+/// Interval in which all agents together use their share of the store's writes.
+duration flow_checkpoint::fair_interval() const
 {
     const auto agent_total =
         static_cast<double>(agent_count ? agent_count() : 1);
-    const std::chrono::duration<double> fair_interval(
+    const std::chrono::duration<double> interval(
         agent_total / (options_.store_writes * options_.max_write_fraction));
-    return std::max(options_.interval,
-                    std::chrono::duration_cast<duration>(fair_interval));
+    return std::chrono::duration_cast<duration>(interval);
+}
+
+duration flow_checkpoint::interval() const
+{
+    return std::max(options_.interval, fair_interval());
+}
+
+/// The older copy may hold a checkpoint that had been removed since. Before the
+/// load, the checkpoint in the store is that of the previous agent.
+void flow_checkpoint::on_store_restored()
+{
+    if (!loaded_ || removed_)
+        return;
+    may_be_stored_ = true;
+    schedule_rewrite(std::max(options_.restore_spread, fair_interval()));
+}
+
+void flow_checkpoint::schedule_rewrite(duration spread)
+{
+    timers_->cancel(rewrite_timer_);
+    const duration delay(static_cast<duration::rep>(
+        random_->below(static_cast<std::uint64_t>(spread.count()))));
+    rewrite_timer_ =
+        timers_->schedule(delay,
+                          [this]
+                          {
+                              // The save in progress may be lost in the
+                              // restore.
+                              if (saving_)
+                                  schedule_rewrite(options_.restore_spread);
+                              else
+                                  save();
+                          });
 }
 
 /// The jitter spreads the saves of agents that started at the same time.
@@ -96,7 +131,9 @@
 
 void flow_checkpoint::remove()
 {
+    removed_ = true;
     timers_->cancel(timer_);
+    timers_->cancel(rewrite_timer_);
     if (may_be_stored_)
         store_.save({}, [](const result<void>&) {});
 }
--- a/test/control/document_follower_test.cpp
+++ b/test/control/document_follower_test.cpp
@@ -18,6 +18,7 @@
     std::size_t watches = 0;
     std::uint64_t watch_revision = 0;
     watch_limits limits{};
+    bool arriving = false;
 
     document_follower::calls calls()
     {
@@ -35,6 +36,7 @@
             limits = used;
             watch = std::move(done);
         };
+        c.response_arriving = [this] { return arriving; };
         return c;
     }
 
@@ -60,6 +62,8 @@
     CPPUNIT_TEST(peer_notification_needs_no_read_if_the_watch_reports_it);
     CPPUNIT_TEST(change_is_read_within_the_bound_despite_a_silent_connection);
     CPPUNIT_TEST(late_response_to_an_earlier_call_is_ignored);
+    CPPUNIT_TEST(peer_notification_waits_for_a_response_that_is_arriving);
+    CPPUNIT_TEST(restored_store_is_read_again);
     CPPUNIT_TEST_SUITE_END();
 
     manual_clock clock_;
@@ -188,6 +192,35 @@
         store_.read(scripted_store::state(12, "three"));
         CPPUNIT_ASSERT_EQUAL(std::string("three"), documents_.back());
     }
+
+    /// On a slow link, each notification discarded the response that was being
+    /// received, so a large document never arrived.
+    void peer_notification_waits_for_a_response_that_is_arriving()
+    {
+        store_.read(scripted_store::state(10, "one"));
+        store_.arriving = true;
+        follower_.on_peer_notification();
+        wait(300ms);
+        wait(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), store_.reads);
+        store_.arriving = false;
+        wait(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), store_.reads);
+    }
+
+    /// A watch from a revision of the earlier era would miss changes.
+    void restored_store_is_read_again()
+    {
+        store_.read(scripted_store::state(10, "one"));
+        const auto old_watch = store_.watch;
+        follower_.on_store_restored();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), store_.reads);
+        old_watch(scripted_store::state(11, "two"));
+        store_.read(scripted_store::state(5, "three"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), store_.watch_revision);
+        CPPUNIT_ASSERT_EQUAL(std::string("three"), documents_.back());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), documents_.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(document_follower_test);
--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -5,6 +5,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <utility>
 
 namespace
 {
@@ -23,6 +24,8 @@
     CPPUNIT_TEST(restarted_agent_loads_the_checkpoint);
     CPPUNIT_TEST(object_created_by_an_unanswered_request_is_replaced);
     CPPUNIT_TEST(error_statuses_are_reported);
+    CPPUNIT_TEST(restore_is_reported_and_the_object_written_again);
+    CPPUNIT_TEST(response_of_an_earlier_era_is_discarded);
     CPPUNIT_TEST_SUITE_END();
 
     steady_clock clock_;
@@ -33,6 +36,7 @@
     std::vector<std::string> methods_; ///< HTTP methods of the requests.
     std::optional<nlohmann::json> object_;
     int failure_status_ = 0; ///< HTTP status of all responses, unless 0.
+    std::string era_;        ///< Sent with all responses, unless empty.
 
 public:
     void setUp() override
@@ -67,6 +71,8 @@
                  const http_responder& responder)
     {
         methods_.push_back(request.method);
+        if (!era_.empty())
+            responder.set_header("store-era:", era_);
         if (failure_status_ != 0)
             return responder.reply(failure_status_, "{}");
         const bool creates = request.method == "POST";
@@ -164,6 +170,46 @@
         failure_status_ = 429;
         CPPUNIT_ASSERT(save(1) == errc::store_rate_limited);
     }
+
+    /// The older copy may lack the object or have it again; neither may cost an
+    /// interval of the checkpoint.
+    void restore_is_reported_and_the_object_written_again()
+    {
+        std::size_t restores = 0;
+        client_->on_store_restored([&restores] { ++restores; });
+        const auto restore_to =
+            [&](const char* era, std::optional<nlohmann::json> older_copy)
+        {
+            const std::size_t seen = restores + 1;
+            era_ = era;
+            object_ = std::move(older_copy);
+            client_->checkpoint("side-2").load([](const auto&) {});
+            run_until([&] { return restores == seen; });
+        };
+        era_ = "7";
+        save(1);
+        const auto older_copy = object_;
+        restore_to("8", std::nullopt);
+        CPPUNIT_ASSERT(save(1) == errc::ok);
+        save(0);
+        restore_to("10", older_copy);
+        CPPUNIT_ASSERT(save(2) == errc::ok);
+        CPPUNIT_ASSERT(load() == std::size_t{2});
+    }
+
+    /// A response of the earlier era may be on the way when the first one of
+    /// the new era arrives.
+    void response_of_an_earlier_era_is_discarded()
+    {
+        save(1);
+        era_ = "8";
+        CPPUNIT_ASSERT(load() == std::size_t{1});
+        era_ = "7";
+        CPPUNIT_ASSERT(!load());
+        era_ = "seven";
+        CPPUNIT_ASSERT(load() == std::size_t{1});
+        CPPUNIT_ASSERT(client_->era() == std::uint64_t{8});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_client_test);
--- a/test/relay/balancer_records_test.cpp
+++ b/test/relay/balancer_records_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(record_is_written_once);
     CPPUNIT_TEST(failed_write_is_repeated);
     CPPUNIT_TEST(record_is_removed_when_the_balancer_stops);
+    CPPUNIT_TEST(record_is_written_again_after_a_restore);
     CPPUNIT_TEST(balancers_that_start_together_write_at_different_times);
     CPPUNIT_TEST(nothing_is_read_while_balancers_are_heard);
     CPPUNIT_TEST(records_are_read_when_no_balancer_is_heard);
@@ -111,6 +112,21 @@
     }
 
     /// The users' two-year size: 550 balancers, of which each write counts.
+    /// The record was lost in the restore. A balancer that stops must not come
+    /// back with it.
+    void record_is_written_again_after_a_restore()
+    {
+        const auto writer = start_writer();
+        wait(2s);
+        writer->start();
+        wait(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), writes_);
+        writer->remove();
+        writer->start();
+        wait(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), writes_);
+    }
+
     void balancers_that_start_together_write_at_different_times()
     {
         std::vector<std::unique_ptr<balancer_record_writer>> all(550);
--- a/test/relay/flow_checkpoint_test.cpp
+++ b/test/relay/flow_checkpoint_test.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(failing_store_does_not_increase_the_call_rate);
     CPPUNIT_TEST(interval_grows_with_the_number_of_agents);
     CPPUNIT_TEST(reply_after_destruction_is_ignored);
+    CPPUNIT_TEST(checkpoint_is_saved_again_after_a_restore);
+    CPPUNIT_TEST(restore_does_not_exceed_the_rate_of_the_store);
     CPPUNIT_TEST_SUITE_END();
 
     using probes = flow_checkpoint::probes;
@@ -113,6 +115,41 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, loaded_[0].size());
     }
 
+    void restore(const probes& older_copy)
+    {
+        stored_ = older_copy;
+        checkpoint_->on_store_restored();
+        advance_time(2s);
+    }
+
+    /// Until the next save, a loss of power would lose the flows; and the older
+    /// copy may have a checkpoint of flows that have ended.
+    void checkpoint_is_saved_again_after_a_restore()
+    {
+        checkpoint_->start();
+        current_ = packets(3);
+        restore({});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, stored_.size());
+        current_.clear();
+        advance_time(7s);
+        restore(packets(1));
+        CPPUNIT_ASSERT(stored_.empty());
+        checkpoint_->remove();
+        current_ = packets(1);
+        restore({});
+        CPPUNIT_ASSERT(stored_.empty());
+    }
+
+    /// 6,000 agents at once would exceed the rate of the store's writes.
+    void restore_does_not_exceed_the_rate_of_the_store()
+    {
+        checkpoint_->agent_count = [] { return 6000; };
+        checkpoint_->start();
+        current_ = packets(1);
+        restore({});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, saves_);
+    }
+
     void nothing_is_saved_without_flows()
     {
         checkpoint_->start();
