--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -36,7 +36,8 @@
     std::vector<std::string> methods_; ///< HTTP methods of the requests.
     std::optional<nlohmann::json> object_;
     int failure_status_ = 0; ///< HTTP status of all responses, unless 0.
-    std::string era_;        ///< Sent with all responses, unless empty.
+    std::uint64_t revision_ = 0;
+    std::string era_; ///< Sent with all responses, unless empty.
 
 public:
     void setUp() override
@@ -81,7 +82,14 @@
         if (!creates && !object_)
             return responder.reply(404, "{}");
         if (creates || request.method == "PUT")
+        {
             object_ = nlohmann::json::parse(request.body);
+            (*object_)["meta"]["Revision"] = ++revision_;
+        }
+        if (!request.query.empty() &&
+            request.query !=
+                "Revision=" + (*object_)["meta"]["Revision"].dump())
+            return responder.reply(409, object_->dump());
         const std::string body = object_->dump();
         if (request.method == "DELETE")
             object_.reset();
@@ -191,8 +199,12 @@
         const auto older_copy = object_;
         restore_to("8", std::nullopt);
         CPPUNIT_ASSERT(save(1) == errc::ok);
-        save(0);
+        object_.reset();
+        era_ = "9"; // The save itself gets the first response of this era.
+        CPPUNIT_ASSERT(save(1) == errc::ok);
         restore_to("10", older_copy);
+        CPPUNIT_ASSERT(save(0) == errc::ok);
+        restore_to("11", older_copy);
         CPPUNIT_ASSERT(save(2) == errc::ok);
         CPPUNIT_ASSERT(load() == std::size_t{2});
     }
