--- a/fuzz/platform_records.cpp
+++ b/fuzz/platform_records.cpp
@@ -1,14 +1,15 @@
 #include "../platform/checkpoint_record.hpp"
 #include "../platform/evacuation_list.hpp"
+#include "../platform/json_split.hpp"
 #include "../platform/records.hpp"
 
 #include <string_view>
 
 using namespace briarfield;
 
-/// Reads any bytes as a configuration, as a heartbeat, as evacuations and as a
-/// checkpoint. Names of zones must not be empty, and the packets of a
-/// checkpoint must not be empty or exceed their capacity.
+/// Reads any bytes as a configuration, as a heartbeat, as evacuations, as a
+/// list of objects and as a checkpoint. Names of zones must not be empty, and
+/// the packets of a checkpoint must not be empty or exceed their capacity.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size)
 {
@@ -25,6 +26,8 @@
             if (zone.empty())
                 __builtin_trap();
     (void)platform::read_evacuation_events(response, unreadable);
+    (void)platform::split_array(
+        platform::find_member(body, "items").value_or(body));
     const auto spec = nlohmann::json::parse(body, nullptr, false);
     for (const short_packet& packet : platform::read_checkpoint(spec))
         if (packet.empty() || packet.span().size() > short_packet::capacity)
--- a/include/briarfield/control/evacuation_follower.hpp
+++ b/include/briarfield/control/evacuation_follower.hpp
@@ -54,6 +54,9 @@
 
     void start() { follower_.start(); }
 
+    /// \brief The store came back from an older copy: reads all zones.
+    void on_store_restored() { follower_.on_store_restored(); }
+
     /// \brief Called with all evacuated zones after each read, and after each
     /// watch that has reported changes.
     std::function<void(const evacuated_zones&)> on_zones;
--- a/test/platform/evacuation_list_test.cpp
+++ b/test/platform/evacuation_list_test.cpp
@@ -110,12 +110,12 @@
                                     responder.reply(200, page->second);
                                 })
                 .value());
-        http_client::options options;
-        options.host = "127.0.0.1";
-        options.port = server->port();
-        http_client client(*loop, options);
+        store_connection store(
+            *loop,
+            endpoint::parse("127.0.0.1:" + std::to_string(server->port()))
+                .value());
         std::optional<evacuated_zones> read;
-        evacuation_calls(client).read(
+        evacuation_calls(store).read(
             [&read](const result<evacuated_zones>& zones)
             {
                 CPPUNIT_ASSERT(zones);
