Query an agent again that comes back while its flow is searched for

Cause, traced at each reset of the 22 recorded failures: in all of them the holder's agent was marked as up at the end of the schedule but had sent no heartbeat since it was down; it had been silent for 4.02 to 4.04 s (8 of 22), so that it was given up, or no restarted balancer had a record of it (14 of 22). The end of the schedule now sends heartbeats before time advances; the assertions are unchanged.

Here the code was wrong: an agent that had been silent for more than 4 s when the search began counted as gone, also if it came back while another agent was waited for. The search ended without a query to it, and was taken as conclusive. fail_search now checks the agents that did not respond once more.

Test: agent_that_comes_back_during_a_search_is_queried; without the change in flow_search.cpp it fails with one reset.

--- a/src/dispatch/flow_search.cpp
+++ b/src/dispatch/flow_search.cpp
@@ -191,6 +191,12 @@
 {
     const time_point now = clock_->now();
     location.state = location_state::lost;
+    // An agent that was given up may have come back while others were queried.
+    location.unanswered =
+        location.unanswered ||
+        std::any_of(location.unresponsive.begin(), location.unresponsive.end(),
+                    [this](agent_index i)
+                    { return agents_->may_hold_flows(i); });
     if (location.failed_searches++ == 0)
         location.first_failure = now;
     if (packet.kind == packet_kind::reset)
--- a/test/dispatch/flow_dispatcher_test.cpp
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(recently_started_balancer_searches_twice);
     CPPUNIT_TEST(search_goes_on_past_agents_that_do_not_respond);
     CPPUNIT_TEST(lost_query_is_repeated);
+    CPPUNIT_TEST(agent_that_comes_back_during_a_search_is_queried);
     CPPUNIT_TEST(flow_of_a_restarting_agent_is_found_when_it_is_back);
     CPPUNIT_TEST(restarting_agents_are_queried_last);
     CPPUNIT_TEST(new_server_gets_flows_once_all_balancers_track_it);
@@ -248,6 +249,28 @@
         CPPUNIT_ASSERT(foreign_packets() <= 16);
     }
 
+    /// The flow's agent had been given up when the search began, and came back
+    /// while another one was waited for. It counted as having answered, and its
+    /// flow was reset.
+    void agent_that_comes_back_during_a_search_is_queried()
+    {
+        start(4, 2);
+        network_.open(0, 1);
+        const std::size_t holder = network_.holder(1);
+        const std::size_t other = (holder + 1) % 4;
+        network_.server(holder).agent_up = false;
+        network_.advance(3000ms);
+        network_.server(other).agent_up = false;
+        network_.advance(1040ms);
+        network_.send(0, 1);
+        network_.server(holder).agent_up = true;
+        network_.server(other).agent_up = true;
+        network_.send_heartbeats();
+        network_.advance(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), network_.caller(1).resets);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), network_.caller(1).answers);
+    }
+
     void flow_of_a_restarting_agent_is_found_when_it_is_back()
     {
         start(6, 2);
@@ -719,6 +742,8 @@
                 network.drop_flow_held = false;
                 for (std::size_t s = 0; s < network.servers(); ++s)
                     network.server(s).agent_up = true;
+                // An agent sends a heartbeat as soon as it is up.
+                network.send_heartbeats();
                 network.advance(1s);
                 for (std::uint16_t c = 1; c <= 5; ++c)
                 {
