--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -5,8 +5,11 @@
 #include "briarfield/core/pause_detector.hpp"
 #include "briarfield/dispatch/agent_directory.hpp"
 #include "briarfield/dispatch/flow_locator.hpp"
+#include "briarfield/dispatch/flow_query_queue.hpp"
 #include "briarfield/dispatch/placement.hpp"
 #include "briarfield/dispatch/route_table.hpp"
+#include "briarfield/dispatch/rtt_estimator.hpp"
+#include "briarfield/dispatch/search_progress.hpp"
 
 #include <chrono>
 #include <functional>
@@ -40,6 +43,8 @@
     dropped_reset, ///< A caller's reset of an unknown flow.
     /// Copy of a packet, kept for a search that goes on without it.
     dropped_kept,
+    queried,              ///< The packet waits for the answers of agents.
+    dropped_search_limit, ///< Too many searches are in progress.
     count_
 };
 
@@ -62,6 +67,23 @@
 std::string_view
 search_uncertainty_name(search_uncertainty uncertainty) noexcept;
 
+/// \brief Outcome of a query about one flow; each has a counter.
+enum class query_event : std::uint8_t
+{
+    sent,         ///< An agent was queried by a message.
+    sent_packet,  ///< An agent was queried by the packet itself.
+    repeated,     ///< The same, after a timeout.
+    held,         ///< The agent's server has the flow.
+    not_held,     ///< The agent's server does not have the flow.
+    undecided,    ///< The agent's records are not complete.
+    unresponsive, ///< The agent has not answered.
+    limited,      ///< Not sent, since too many queries are in progress.
+    count_
+};
+
+/// \brief Label of \a event in metrics.
+std::string_view query_event_name(query_event event) noexcept;
+
 /// \brief What to do with a packet.
 struct dispatch_verdict
 {
@@ -76,6 +98,8 @@
     dispatch_event event = dispatch_event::dropped_no_routes;
     agent_index agent = no_agent; ///< For action::forward.
     forward_info info;            ///< For action::forward.
+    /// Agents to which a copy is sent, too; for action::forward.
+    std::vector<agent_index> more_agents;
     std::uint32_t reset_sequence = 0;
     /// Servers without the flow, after an unsuccessful search.
     std::size_t queried = 0;
@@ -83,7 +107,8 @@
     search_uncertainty uncertainty = search_uncertainty::none;
     /// If positive, a copy of the packet is to be passed to
     /// \ref flow_dispatcher::on_kept_packet after this delay, so that the
-    /// search need not wait for the caller's retransmission.
+    /// search need not wait for the caller's retransmission. A flow has one
+    /// kept packet, the first; the earliest time counts.
     duration retry_after{};
 };
 
@@ -92,7 +117,9 @@
 /// A backend server is the authority on its flows: it returns packets of flows
 /// that it does not have. So a balancer needs no authoritative flow table. It
 /// places each new flow on a server of its choice, caches the location, and
-/// queries one server after the other for a flow that is not cached.
+/// queries agents in parallel for a flow that is not cached: by a message those
+/// that have a record of every flow of their server, by the packet the others.
+/// First those are queried on which new flows are placed, then all.
 ///
 /// A packet is answered with a reset only when its flow cannot exist: for an
 /// opening that no server took, or for a flow that every tracked server
@@ -116,12 +143,19 @@
         /// and its records are outdated: all limits above count from then on.
         /// \ref expire is called more often.
         duration pause_limit = std::chrono::seconds(1);
-        /// A server that does not respond to a query for this long is queried
-        /// again or skipped.
-        duration search_timeout = std::chrono::milliseconds(60);
-        /// Queries to a server whose agent is alive, in one search; one of them
-        /// or its response may be lost.
+        /// Transmissions of a query to an agent that is alive, in one search;
+        /// one of them or its answer may be lost.
         unsigned max_queries = 2;
+        /// Outstanding queries of one search, after the first step.
+        std::size_t max_parallel_queries = 64;
+        /// Those of them that are copies of the packet. Few, since payload
+        /// lengthens the queues of the callers' packets.
+        std::size_t max_parallel_packets = 4;
+        /// Searches in progress; each keeps a packet and its answers.
+        std::size_t max_searches = 2048;
+        /// Queries that are sent to the same agent within this time share a
+        /// datagram.
+        duration query_delay = std::chrono::milliseconds(2);
         /// A search without a packet of the caller for this long is left to the
         /// caller's next retransmission; those follow each other faster.
         duration search_limit = std::chrono::seconds(2);
@@ -136,9 +170,10 @@
         duration reset_delay = std::chrono::milliseconds(350);
         /// Minimum interval between searches for a lost flow.
         duration search_interval = std::chrono::milliseconds(150);
-        /// A server that does not have a flow is not queried again for this
-        /// long; far less than the time until a caller reuses a port.
-        duration negative_response_ttl = std::chrono::seconds(2);
+        /// A server that does not have an open flow cannot get it later, so its
+        /// answer stays valid during the search. The limit is far less than the
+        /// time until a caller reuses a port.
+        duration negative_response_ttl = std::chrono::seconds(8);
         /// New flows go to one of this many servers of the balancer's zone, and
         /// of as many of other zones, that rank highest for the flow. Few
         /// enough that another balancer finds the flow within its first
@@ -177,14 +212,45 @@
     /// \brief Records that the server of the agent at \a from has the flow.
     void on_flow_held(const flow_key& key, const endpoint& from);
 
+    /// \brief Records the answer of the agent at \a from to the query \a id: it
+    /// holds the flows at the positions \a held, and no other one of the query
+    /// if its records are \a complete.
+    void on_query_answer(const endpoint& from,
+                         std::uint32_t id,
+                         bool complete,
+                         const std::vector<std::uint16_t>& held);
+
+    /// \brief Sends the queries that wait to share datagrams.
+    void flush_queries() { queries_.flush(); }
+
     /// \brief Removes idle flows; to be called at least twice in each
     /// options::pause_limit.
     void expire();
 
     const counter_set<dispatch_event>& counters() const { return counters_; }
 
+    const counter_set<query_event>& query_counters() const
+    {
+        return query_counters_;
+    }
+
     std::size_t flows() const { return flows_.size(); }
 
+    std::size_t searches() const { return searches_.size(); }
+
+    /// \brief Called to send a query for flows to an agent.
+    std::function<void(
+        const endpoint& agent, std::uint32_t id, const std::vector<flow_key>&)>
+        send_query;
+
+    /// \brief Called when queries begin to wait: \ref flush_queries is to be
+    /// called after the delay.
+    std::function<void(duration)> schedule_flush;
+
+    /// \brief Called when the search for a flow can go on: its kept packet, if
+    /// any, is to be passed to \ref on_kept_packet now.
+    std::function<void(const flow_key&)> resume_kept_packet;
+
     /// \brief Called for each decision worth a log line: all but packets sent
     /// to a known server.
     std::function<void(const flow_packet&, const dispatch_verdict&)>
@@ -232,8 +298,6 @@
                                   candidate_set set);
     void keep_best_candidates();
     bool same_zone(agent_index i) const;
-    void start_search(flow_location& location) const;
-    static void end_placement(flow_location& location);
     void
     collect_candidates(std::uint64_t hash,
                        const flow_location& location,
@@ -241,16 +305,55 @@
     dispatch_verdict on_missing_route(const flow_packet& packet);
     dispatch_verdict forward_existing(const flow_packet& packet,
                                       flow_location& location);
+    /// Agents to which the packet is to be sent.
+    using packet_targets = std::vector<agent_index>;
+
+    void end_placement(const flow_key& key, flow_location& location);
+    void forget_search(const flow_key& key) { searches_.erase(key); }
+    void forget_earlier_flow(const flow_packet& packet,
+                             flow_location& location);
+    bool is_searched_for(const flow_key& key) const
+    {
+        return searches_.count(key) != 0;
+    }
+    search_progress* search_for(const flow_packet& packet);
+    bool make_room_for_search();
+    void expire_searches();
+    dispatch_verdict query(const packet_targets& targets);
+    bool queue_query(agent_index agent, const flow_key& key);
+    flow_location& confirm(const flow_key& key, agent_index agent);
+    void on_found_by_message(const flow_key& key, agent_index agent);
     dispatch_verdict search(const flow_packet& packet, flow_location& location);
+    bool repeat_queries(const flow_key& key,
+                        search_progress& search,
+                        packet_targets& targets);
+    bool may_repeat(const outstanding_query& query) const;
+    bool ask_next(const flow_key& key,
+                  search_progress& search,
+                  packet_targets& targets);
+    std::size_t room_for_queries(const search_progress& search) const;
+    bool send_query_to(agent_index agent,
+                       const flow_key& key,
+                       search_progress& search,
+                       packet_targets& targets);
+    query_kind kind_of_query(const search_progress& search,
+                             agent_index agent) const;
+    rtt_estimator& rtt_of(agent_index agent);
+    bool can_go_on(const search_progress& search) const;
+    void end_query(search_progress& search, agent_index agent);
+    void on_negative_answer(const flow_key& key, agent_index agent);
+    void on_answer(const flow_key& key,
+                   const flow_query_queue::query& query,
+                   query_event answer);
+    void resume(const flow_key& key);
     dispatch_verdict fail_search(const flow_packet& packet,
-                                 flow_location& location);
+                                 flow_location& location,
+                                 const search_progress& search);
     search_uncertainty uncertainty_of(const flow_location& location) const;
-    dispatch_verdict query(flow_location& location);
-    bool may_query_again(const flow_location& location) const;
-    duration keep_packet(flow_location& location, duration delay) const;
-    duration retry_delay() const;
-    agent_index next_to_query(const flow_key& key,
-                              const flow_location& location) const;
+    duration retry_delay(const flow_location& location) const;
+    std::vector<agent_index> rank_for_query(const flow_key& key,
+                                            const search_progress& search,
+                                            std::size_t count) const;
     dispatch_verdict
     forward(dispatch_event event, agent_index agent, forward_info info);
     dispatch_verdict reset(const flow_packet& packet, dispatch_event event);
@@ -268,6 +371,10 @@
     agent_directory* agents_;
     placement_policy policy_;
     flow_locator flows_;
+    search_map searches_;
+    flow_query_queue queries_;
+    std::vector<rtt_estimator> rtt_; ///< By agent.
+    counter_set<query_event> query_counters_;
     counter_set<dispatch_event> counters_;
     /// After a pause every agent seems to have timed out, although its
     /// heartbeats wait to be read; so the balancer knows as little as after a
--- a/include/briarfield/dispatch/flow_locator.hpp
+++ b/include/briarfield/dispatch/flow_locator.hpp
@@ -18,7 +18,7 @@
 {
     placed,    ///< Sent to a server as new; no answer seen.
     confirmed, ///< The agent reported that its server has the flow.
-    searching, ///< Servers are queried one after the other.
+    searching, ///< Agents are queried; see \ref search_progress.
     lost,      ///< No server has it.
     count_
 };
@@ -31,23 +31,24 @@
     time_point agent_chosen_at{}; ///< When \ref agent was chosen.
     time_point last_packet{};     ///< When a packet of the flow last arrived.
     time_point first_failure{};   ///< When the first search failed.
+    time_point next_search{};     ///< Earliest time of the next search.
     unsigned retransmission_count = 0; ///< Of the opening that was placed last.
     /// Sequence number of the opening that was placed here; unset if this
     /// balancer has placed none. Another one belongs to a later flow that uses
     /// the same addresses and ports.
     std::optional<std::uint32_t> opening_sequence;
     unsigned failed_searches = 0; ///< Unsuccessful searches.
-    unsigned queries = 0;         ///< To \ref agent in this search.
-    time_point retry_at{};        ///< When a kept packet is dispatched again.
     bool unanswered = false;      ///< A server did not respond in this search.
+    /// A kept packet is to be forwarded to \ref agent, which was not queried by
+    /// the packet itself.
+    bool forward_kept = false;
     bool force = false; ///< Overloaded servers must accept the opening, too.
     /// The opening was sent to a server that is reported as unavailable.
     bool last_resort = false;
-    std::vector<agent_index> tried; ///< Agents not to be tried again.
+    /// Agents that are not to be tried again for the opening.
+    std::vector<agent_index> tried;
     /// Those of \ref tried that are only overloaded.
     std::vector<agent_index> overloaded;
-    /// Those of \ref tried that did not respond.
-    std::vector<agent_index> unresponsive;
 };
 
 /// \brief Bounded cache from flows to agents.
--- a/include/briarfield/dispatch/flow_packet.hpp
+++ b/include/briarfield/dispatch/flow_packet.hpp
@@ -71,6 +71,9 @@
     silent,        ///< The server has timed out.
     busy,          ///< The server is overloaded; another one answers sooner.
     warming,       ///< The server is warming up and takes no more openings now.
+    /// Answer to a search whose packet the balancer has kept: the server does
+    /// not have the flow. The returned packet has no payload.
+    not_held,
     count_
 };
 
@@ -91,6 +94,9 @@
 {
     forward_mode mode = forward_mode::known;
     service_tag service = 0; ///< Service of the route; checked for openings.
+    /// The balancer has kept the packet, so that an agent need not return its
+    /// payload; for forward_mode::search.
+    bool packet_kept = false;
 };
 
 /// \brief A stored packet without payload.
@@ -139,6 +145,9 @@
     /// of a returned packet.
     std::function<void(byte_span)> clear_marks;
 
+    /// Removes the payload; the result is a valid packet in the same memory.
+    std::function<byte_span(byte_span)> drop_payload;
+
     /// Builds a reset of a flow, with the given sequence number, for its
     /// caller.
     std::function<std::vector<std::uint8_t>(const flow_key&,
--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -4,6 +4,7 @@
 #include "briarfield/core/counter_set.hpp"
 #include "briarfield/core/histogram.hpp"
 #include "briarfield/dispatch/agent_directory.hpp"
+#include "briarfield/dispatch/flow_completeness.hpp"
 #include "briarfield/dispatch/load_gauge.hpp"
 #include "briarfield/dispatch/outlier_ejection.hpp"
 #include "briarfield/dispatch/server_registration.hpp"
@@ -89,13 +90,17 @@
     /// \brief Maximum number of recorded balancers; more than a deployment has.
     static constexpr std::size_t balancer_capacity = 4096;
 
-    /// \brief Flows without a packet for this long are removed.
+    /// \brief Flows without a packet for this long no longer count as open.
     static constexpr duration flow_idle_timeout = std::chrono::seconds(20);
 
-    /// \brief The same for flows that one end has closed.
+    /// \brief Records of flows that both ends have closed, or the server has
+    /// reset, are removed after this long without a packet.
     static constexpr duration closed_flow_idle_timeout =
         std::chrono::seconds(2);
 
+    /// \brief Default of the longest life of a flow.
+    static constexpr duration default_max_flow_age = std::chrono::seconds(60);
+
     /// \brief Requests per slot, in progress or expected, from which an opening
     /// is returned because another server answers it sooner. A request that
     /// waits for two others on its slot still meets its target.
@@ -115,8 +120,13 @@
     /// progress.
     static constexpr duration request_timeout = std::chrono::seconds(3);
 
-    server_gate(const clock& c, server_registration& server)
-        : clock_(&c), server_(&server), load_(c), ejection_(c)
+    /// \param max_flow_age Longest life of a flow; records of flows are kept
+    /// this long without a packet.
+    server_gate(const clock& c,
+                server_registration& server,
+                duration max_flow_age = default_max_flow_age)
+        : clock_(&c), server_(&server), max_flow_age_(max_flow_age), load_(c),
+          ejection_(c), completeness_(c, max_flow_age)
     {
     }
 
@@ -132,6 +142,14 @@
     /// \brief Removes idle flows; to be called periodically.
     void expire();
 
+    /// \brief Positions in \a flows of those that the server holds according
+    /// to the records.
+    std::vector<std::uint16_t> held(const std::vector<flow_key>& flows);
+
+    /// \brief Whether flows that are not in the result of \ref held are not
+    /// held.
+    bool flows_complete();
+
     std::uint32_t open_flows() const { return open_count_; }
 
     /// \brief The caller's last packet without payload, for each flow on which
@@ -186,19 +204,31 @@
         bool in_progress = false;
         bool found_free_slot = false; ///< The last request did not wait.
         bool closed = false;          ///< One end has closed or reset it.
-        bool sent_by_server = false;  ///< The server has sent any packet.
+        bool closed_by_caller = false;
+        bool closed_by_server = false;
+        bool ended = false; ///< Closed by both ends, or reset by the server.
+        bool sent_by_server = false; ///< The server has sent any packet.
+        /// The server had sent packets before a copy of an opening arrived, so
+        /// that the flow may be open although sent_by_server is false.
+        bool sent_before_opening = false;
+        /// \ref balancer has kept the last packet.
+        bool packet_kept = false;
         bool answered = false; ///< The server has sent data after accepting.
         short_packet probe;    ///< See \ref probes.
     };
 
     std::uint16_t position_of(const endpoint& balancer);
     void record_packet(const flow_packet& packet,
-                       forward_mode mode,
+                       forward_info info,
                        std::uint16_t balancer);
     void end_request(tracked_flow& record);
     void record_answer_time(const tracked_flow& record);
     void record_outcome(const tracked_flow& record, const flow_packet& packet);
     void close(tracked_flow& record);
+    static void close_by_caller(tracked_flow& record);
+    static void close_by_server(tracked_flow& record, packet_kind kind);
+    bool balancer_kept_packet(const flow_key& key, std::size_t balancer) const;
+    void stop_counting_idle(tracked_flow& record);
     void remove_flow(const flow_key& key);
     void record_returned(const flow_key& key);
     gate_verdict end_flow(const flow_packet& packet);
@@ -217,12 +247,14 @@
 
     const clock* clock_;
     server_registration* server_;
+    duration max_flow_age_;
     /// When the server last returned an opening; cleared when it accepts one.
     time_point opening_returned_{};
     time_point last_flow_lost_{}; ///< When \ref on_flow_lost was last called.
     load_gauge load_;
     service_time_gauge service_time_;
     outlier_ejection ejection_;
+    flow_completeness completeness_;
     counter_set<gate_event> counters_;
     histogram request_times_ = histogram::of_durations();
     std::unordered_map<flow_key, tracked_flow, flow_key_hash> flows_;
--- a/include/briarfield/relay/relay_agent.hpp
+++ b/include/briarfield/relay/relay_agent.hpp
@@ -40,6 +40,8 @@
     /// Balancers are taken to be down when none has sent a notice for this
     /// long. Each sends one a second.
     duration notice_timeout = std::chrono::milliseconds(1500);
+    /// Longest life of a flow.
+    duration max_flow_age = server_gate::default_max_flow_age;
 };
 
 /// \brief Agent of a server that returns packets of flows it does not hold.
@@ -105,7 +107,9 @@
     void on_relay_datagram(byte_span datagram, const endpoint& from);
     void on_server_batch(const udp_socket::datagram* batch, std::size_t count);
     void on_server_datagram(byte_span datagram);
+    void on_message(byte_span body);
     void on_notice(const balancer_notice& notice);
+    void on_query(const flow_query& query);
     void return_packet(byte_span packet, const gate_verdict& verdict);
     void notify_balancer(const endpoint& balancer, const flow_key& key);
     void on_server_change();
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -6,6 +6,7 @@
 #include "briarfield/dispatch/relay_frame.hpp"
 #include "briarfield/net/event_loop.hpp"
 #include "briarfield/net/udp_socket.hpp"
+#include "briarfield/relay/kept_packets.hpp"
 #include "briarfield/relay/notice_plan.hpp"
 #include "briarfield/relay/relay_peers.hpp"
 
@@ -110,8 +111,12 @@
     void apply_verdict(const dispatch_verdict& verdict,
                        byte_span packet,
                        const flow_packet& p);
-    void keep_packet(byte_span packet, duration delay);
+    void connect_search();
+    void flush_queries();
     void on_kept_packet(byte_span packet);
+    void send_flow_query(const endpoint& agent,
+                         std::uint32_t id,
+                         const std::vector<flow_key>& flows);
     /// What a notice tells besides the state of its sender.
     enum class notice_content : std::uint8_t
     {
@@ -142,8 +147,8 @@
     std::size_t next_listed_agent_ = 0;    ///< First one in the next notice.
     std::uint64_t malformed_ = 0;
     std::uint64_t incarnation_;
-    std::size_t packets_kept_ = 0; ///< Packets that continue searches.
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    kept_packets kept_; ///< Packets that continue searches.
+    timer_id query_timer_ = 0;
     timer_id notice_timer_ = 0;
     timer_id check_timer_ = 0;
 };
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -25,10 +25,18 @@
                                             "dropped_settling",
                                             "dropped_not_found",
                                             "dropped_reset",
-                                            "dropped_kept"};
+                                            "dropped_kept",
+                                            "queried",
+                                            "dropped_search_limit"};
 static_assert(std::size(event_names) ==
               static_cast<std::size_t>(dispatch_event::count_));
 
+constexpr std::string_view query_event_names[] = {
+    "sent",     "sent_packet", "repeated",     "held",
+    "not_held", "undecided",   "unresponsive", "limited"};
+static_assert(std::size(query_event_names) ==
+              static_cast<std::size_t>(query_event::count_));
+
 constexpr std::string_view uncertainty_names[] = {"none", "young", "unanswered",
                                                   "unheard_agent", "no_agents"};
 static_assert(std::size(uncertainty_names) ==
@@ -47,6 +55,11 @@
     return event_names[static_cast<std::size_t>(event)];
 }
 
+std::string_view query_event_name(query_event event) noexcept
+{
+    return query_event_names[static_cast<std::size_t>(event)];
+}
+
 std::string_view
 search_uncertainty_name(search_uncertainty uncertainty) noexcept
 {
@@ -59,8 +72,14 @@
                                  agent_directory& agents,
                                  placement_policy policy)
     : clock_(&c), options_(std::move(opts)), routes_(&routes), agents_(&agents),
-      policy_(std::move(policy)), pauses_(c, options_.pause_limit)
+      policy_(std::move(policy)), queries_(c), pauses_(c, options_.pause_limit)
 {
+    queries_.send = [this](agent_index agent, std::uint32_t id,
+                           const std::vector<flow_key>& flows)
+    {
+        if (send_query)
+            send_query(agents_->at(agent).status.relay_address, id, flows);
+    };
 }
 
 dispatch_verdict flow_dispatcher::on_caller_packet(const flow_packet& packet)
@@ -78,6 +97,7 @@
     flow_location& location =
         cached != nullptr ? *cached : flows_.insert(packet.key, clock_->now());
     location.last_packet = clock_->now();
+    forget_earlier_flow(packet, location);
     return report(packet, forward_existing(packet, location));
 }
 
@@ -92,6 +112,7 @@
     if (routes_->status(destination_of(packet.key)) != route_status::removed)
         return drop(dispatch_event::dropped_no_route);
     flows_.erase(packet.key);
+    forget_search(packet.key);
     return reset(packet, dispatch_event::reset_route_removed);
 }
 
@@ -99,6 +120,7 @@
 {
     const time_point now = clock_->now();
     flow_location* cached = flows_.find(packet.key);
+    forget_search(packet.key);
     if (cached == nullptr)
         return place(packet, flows_.insert(packet.key, now));
     // A caller that opens a flow has abandoned any earlier one on that port.
@@ -117,7 +139,6 @@
         return forward(dispatch_event::forwarded, cached->agent,
                        {opening_mode(*cached), agents_->at(cached->agent).tag});
     add_tried(*cached, cached->agent);
-    cached->unresponsive.push_back(cached->agent);
     cached->unanswered = true;
     return place(packet, *cached);
 }
@@ -346,13 +367,18 @@
         agents_->record_overloaded(agent, info.requests);
     if (packet.kind == packet_kind::opening)
         return on_returned_opening(packet, location, agent, info.reason);
-    const bool is_current = location.agent == agent;
-    if (is_current)
-        end_placement(location);
-    add_tried(location, agent);
-    if (!is_current && location.agent != no_agent)
-        return report(packet, forward_existing(packet, location));
-    return report(packet, search(packet, location));
+    if (info.reason == return_reason::not_held || is_searched_for(packet.key))
+    {
+        on_negative_answer(packet.key, agent);
+        return drop(dispatch_event::dropped_kept);
+    }
+    if (location.agent == agent)
+        end_placement(packet.key, location);
+    // The answer counts from the start of the search.
+    if (location.state == location_state::searching &&
+        search_for(packet) != nullptr)
+        on_negative_answer(packet.key, agent);
+    return report(packet, forward_existing(packet, location));
 }
 
 dispatch_verdict flow_dispatcher::on_returned_opening(const flow_packet& packet,
@@ -363,7 +389,7 @@
     // A late copy of an opening that a server has taken.
     const bool placing = location.state == location_state::placed ||
                          (location.state == location_state::searching &&
-                          location.agent == no_agent);
+                          !is_searched_for(packet.key));
     const bool earlier_flow =
         location.opening_sequence.value_or(packet.sequence) != packet.sequence;
     if (!placing || earlier_flow)
@@ -382,24 +408,37 @@
 void flow_dispatcher::on_flow_held(const flow_key& key, const endpoint& from)
 {
     const agent_index agent = agents_->find(from);
-    if (agent == no_agent)
-        return;
+    if (agent != no_agent)
+        (void)confirm(key, agent);
+}
+
+/// Records that the server of \a agent has the flow.
+flow_location& flow_dispatcher::confirm(const flow_key& key, agent_index agent)
+{
     flow_location* cached = flows_.find(key);
     flow_location& location =
         cached != nullptr ? *cached : flows_.insert(key, clock_->now());
-    if (location.state == location_state::searching && on_found)
-        on_found(key, agent, location.tried.size());
+    const auto search = searches_.find(key);
+    if (search != searches_.end())
+    {
+        end_query(search->second, agent);
+        if (on_found)
+            on_found(key, agent, search->second.negative_answers());
+        searches_.erase(search);
+    }
     location.state = location_state::confirmed;
     location.agent = agent;
     location.failed_searches = 0;
     location.tried.clear();
-    location.unresponsive.clear();
+    return location;
 }
 
 void flow_dispatcher::expire()
 {
     pauses_.check();
     flows_.expire(clock_->now(), options_.idle_timeout);
+    expire_searches();
+    queries_.expire();
 }
 
 dispatch_verdict flow_dispatcher::forward(dispatch_event event,
--- a/src/dispatch/flow_packet.cpp
+++ b/src/dispatch/flow_packet.cpp
@@ -16,7 +16,8 @@
               static_cast<std::size_t>(packet_kind::count_));
 
 constexpr std::string_view reason_names[] = {
-    "not_taken", "other_service", "draining", "silent", "busy", "warming"};
+    "not_taken", "other_service", "draining", "silent",
+    "busy",      "warming",       "not_held"};
 static_assert(std::size(reason_names) ==
               static_cast<std::size_t>(return_reason::count_));
 
--- a/src/dispatch/relay_frame.cpp
+++ b/src/dispatch/relay_frame.cpp
@@ -24,6 +24,10 @@
     return tag;
 }
 
+/// Value of the service tag in a frame of forward_mode::search whose packet the
+/// balancer has kept. Earlier versions write 0 and read nothing.
+constexpr service_tag packet_kept_tag = 1;
+
 result<relay_frame> read_forward(byte_span datagram)
 {
     if (datagram.size() < relay_frame_overhead ||
@@ -33,6 +37,8 @@
     frame.kind = frame_kind::forward;
     frame.info.mode = static_cast<forward_mode>(datagram[1]);
     frame.info.service = read_tag(&datagram[2]);
+    frame.info.packet_kept = frame.info.mode == forward_mode::search &&
+                             frame.info.service == packet_kept_tag;
     frame.body = datagram.drop_front(relay_frame_overhead);
     return frame;
 }
@@ -100,7 +106,7 @@
     std::uint8_t* start = packet.data() - relay_frame_overhead;
     start[0] = static_cast<std::uint8_t>(frame_kind::forward);
     start[1] = static_cast<std::uint8_t>(info.mode);
-    write_tag(start + 2, info.service);
+    write_tag(start + 2, info.packet_kept ? packet_kept_tag : info.service);
     return {start, packet.size() + relay_frame_overhead};
 }
 
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -64,7 +64,7 @@
     const bool has_flow =
         info.mode == forward_mode::search && has_sent_on(packet.key);
     const std::uint16_t balancer = position_of(from);
-    record_packet(packet, info.mode, balancer);
+    record_packet(packet, info, balancer);
     gate_verdict verdict;
     verdict.decision = gate_verdict::action::deliver;
     if (has_flow)
@@ -131,6 +131,27 @@
     return unavailable && may_run ? server_state::silent : server_->state();
 }
 
+std::vector<std::uint16_t> server_gate::held(const std::vector<flow_key>& flows)
+{
+    std::vector<std::uint16_t> positions;
+    for (std::size_t i = 0; i < flows.size(); ++i)
+    {
+        const auto found = flows_.find(flows[i]);
+        if (found != flows_.end() &&
+            (found->second.sent_by_server || found->second.sent_before_opening))
+            positions.push_back(static_cast<std::uint16_t>(i));
+    }
+    return positions;
+}
+
+bool server_gate::flows_complete()
+{
+    completeness_.on_heartbeat(server_->latest().born_ms,
+                               clock_->now() -
+                                   server_->time_since_last_heartbeat());
+    return completeness_.complete();
+}
+
 agent_status server_gate::status()
 {
     const server_heartbeat& latest = server_->latest();
@@ -141,6 +162,7 @@
     reported.state = reported_state();
     reported.slots = latest.slots;
     reported.flows = open_count_;
+    reported.flows_complete = flows_complete();
     reported.requests_in_progress = static_cast<float>(load_.mean());
     reported.service_time = service_time_.mean();
     reported.warmup_ms =
@@ -221,7 +243,10 @@
     }
     if (packet.kind == packet_kind::reset ||
         packet.kind == packet_kind::closing)
+    {
         close(record);
+        close_by_server(record, packet.kind);
+    }
     return verdict;
 }
 
@@ -267,7 +292,12 @@
         opening_returned_ = clock_->now();
     else
         record_returned(packet.key);
-    remove_flow(packet.key);
+    if (balancer_kept_packet(packet.key, position))
+        verdict.returned.reason = return_reason::not_held;
+    // A returned copy of an opening may be read after the answer to another
+    // copy, which the server has taken.
+    if (packet.kind != packet_kind::opening || !has_sent_on(packet.key))
+        remove_flow(packet.key);
     verdict.decision = gate_verdict::action::return_packet;
     verdict.event = gate_event::given_back;
     verdict.balancer = balancers_[position];
@@ -277,6 +307,15 @@
     return verdict;
 }
 
+/// Whether the balancer at \a balancer has kept the flow's last packet.
+bool server_gate::balancer_kept_packet(const flow_key& key,
+                                       std::size_t balancer) const
+{
+    const auto found = flows_.find(key);
+    return found != flows_.end() && found->second.packet_kept &&
+           found->second.balancer == balancer;
+}
+
 /// A server returns no packet of a flow that it has. So it has lost this one,
 /// and probably all.
 void server_gate::record_returned(const flow_key& key)
@@ -311,7 +350,7 @@
 {
     std::vector<short_packet> all;
     for (const auto& [key, record] : flows_)
-        if (record.answered && !record.closed && !record.probe.empty())
+        if (record.answered && record.open && !record.probe.empty())
             all.push_back(record.probe);
     return all;
 }
@@ -335,23 +374,32 @@
 }
 
 void server_gate::record_packet(const flow_packet& packet,
-                                forward_mode mode,
+                                forward_info info,
                                 std::uint16_t balancer)
 {
     const auto found = flows_.find(packet.key);
     if (found == flows_.end() && flows_.size() >= flow_capacity)
-        return;
+        return completeness_.on_table_full();
     tracked_flow& record =
         found == flows_.end() ? flows_[packet.key] : found->second;
     const time_point now = clock_->now();
     record.last_packet = now;
     // A balancer that searches has no location of the flow in its cache.
-    if (record.balancer != balancer || mode != forward_mode::known)
+    if (record.balancer != balancer || info.mode != forward_mode::known)
         record.balancer_notified = false;
     record.balancer = balancer;
+    record.packet_kept = info.mode == forward_mode::search && info.packet_kept;
     if (packet.kind == packet_kind::opening)
     {
-        // The caller has abandoned any earlier flow on this port.
+        // The caller has abandoned any earlier flow on this port, unless this
+        // is a late copy of the opening.
+        record.sent_before_opening =
+            !record.ended &&
+            (record.sent_before_opening || record.sent_by_server);
+        record.closed = false;
+        record.closed_by_caller = false;
+        record.closed_by_server = false;
+        record.ended = false;
         record.sent_by_server = false;
         record.answered = false;
         record.probe = short_packet();
@@ -377,7 +425,25 @@
     }
     if (packet.kind == packet_kind::reset ||
         packet.kind == packet_kind::closing)
+    {
         close(record);
+        close_by_caller(record);
+    }
+}
+
+/// A reset of the caller counts like its last data: it may be a late one of an
+/// earlier flow, which the server ignores.
+void server_gate::close_by_caller(tracked_flow& record)
+{
+    record.closed_by_caller = true;
+    record.ended = record.ended || record.closed_by_server;
+}
+
+void server_gate::close_by_server(tracked_flow& record, packet_kind kind)
+{
+    record.closed_by_server = true;
+    record.ended =
+        record.ended || record.closed_by_caller || kind == packet_kind::reset;
 }
 
 /// One end sends no more data; late packets still pass.
@@ -409,6 +475,14 @@
     flows_.erase(found);
 }
 
+/// Callers that vanish leave flows open, which would count as load.
+void server_gate::stop_counting_idle(tracked_flow& record)
+{
+    if (record.open)
+        --open_count_;
+    record.open = false;
+}
+
 void server_gate::expire()
 {
     server_->detect_pause();
@@ -418,8 +492,11 @@
     {
         if (record.in_progress && now - record.request_start > request_timeout)
             end_request(record);
-        if (now - record.last_packet >
-            (record.closed ? closed_flow_idle_timeout : flow_idle_timeout))
+        const duration idle_time = now - record.last_packet;
+        if (idle_time > flow_idle_timeout)
+            stop_counting_idle(record);
+        if (idle_time >
+            (record.ended ? closed_flow_idle_timeout : max_flow_age_))
             idle.push_back(key);
     }
     for (const flow_key& key : idle)
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -43,7 +43,7 @@
                                 options.service,
                                 options.silence_limit,
                                 options.server),
-      gate_(loop.timers().time_source(), server_),
+      gate_(loop.timers().time_source(), server_, options.max_flow_age),
       balancers_(loop.timers().time_source()), incarnation_(random.next())
 {
     add_seeds(options_.seeds);
@@ -148,13 +148,7 @@
     }
     const byte_span body = frame.value().body;
     if (frame.value().kind == frame_kind::message)
-    {
-        const auto message = decode_dispatch_message(text_of(body));
-        if (message && std::holds_alternative<balancer_notice>(message.value()))
-            return on_notice(std::get<balancer_notice>(message.value()));
-        ++malformed_;
-        return;
-    }
+        return on_message(body);
     const auto p = codec_.decode_caller(body);
     if (!p || frame.value().kind != frame_kind::forward)
     {
@@ -173,6 +167,27 @@
         notify_balancer(verdict.balancer, p.value().key);
 }
 
+void relay_agent::on_message(byte_span body)
+{
+    const auto message = decode_dispatch_message(text_of(body));
+    if (message && std::holds_alternative<balancer_notice>(message.value()))
+        return on_notice(std::get<balancer_notice>(message.value()));
+    if (message && std::holds_alternative<flow_query>(message.value()))
+        return on_query(std::get<flow_query>(message.value()));
+    ++malformed_;
+}
+
+void relay_agent::on_query(const flow_query& query)
+{
+    flow_answer answer;
+    answer.agent = options_.relay;
+    answer.id = query.id;
+    answer.complete = gate_.flows_complete();
+    answer.held = gate_.held(query.flows);
+    relay_->queue_copy(query.balancer, bytes_of(message_frame(answer)));
+    relay_->flush();
+}
+
 /// Tells a balancer that the server has a flow.
 void relay_agent::notify_balancer(const endpoint& balancer, const flow_key& key)
 {
@@ -220,6 +235,8 @@
 void relay_agent::return_packet(byte_span packet, const gate_verdict& verdict)
 {
     codec_.clear_marks(packet);
+    if (verdict.returned.reason == return_reason::not_held)
+        packet = codec_.drop_payload(packet);
     relay_->queue(verdict.balancer,
                   write_return_frame(packet, verdict.returned));
 }
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -27,10 +27,6 @@
 /// notifying agents.
 constexpr int missed_notices = 3;
 
-/// Maximum packets kept to continue searches, one for each flow; with their
-/// payload they take less than 1 MB.
-constexpr std::size_t max_kept_packets = 512;
-
 /// Returns the next addresses of \a all that fit a notice; \a cursor advances
 /// through the list in a circle.
 std::vector<endpoint> next_addresses(const std::vector<endpoint>& all,
@@ -70,10 +66,12 @@
                   routes_,
                   agents_,
                   std::move(policy)),
-      peers_(loop.timers().time_source()), incarnation_(options.incarnation)
+      peers_(loop.timers().time_source()), incarnation_(options.incarnation),
+      kept_(loop.timers(), relay_frame_overhead)
 {
     add_seeds(options_.seeds);
     set_log_hooks();
+    connect_search();
 }
 
 void relay_balancer::add_seeds(const std::vector<endpoint>& seeds)
@@ -93,7 +91,7 @@
 
 relay_balancer::~relay_balancer()
 {
-    *alive_ = false;
+    loop_->timers().cancel(query_timer_);
     loop_->timers().cancel(notice_timer_);
     loop_->timers().cancel(check_timer_);
 }
@@ -123,7 +121,8 @@
     dispatcher_.on_decision =
         [this](const flow_packet& p, const dispatch_verdict& verdict)
     {
-        if (verdict.event == dispatch_event::searched)
+        if (verdict.event == dispatch_event::searched ||
+            verdict.event == dispatch_event::queried)
             return;
         if (verdict.agent == no_agent)
         {
@@ -170,6 +169,43 @@
     };
 }
 
+/// Queries share datagrams; a search goes on as soon as answers allow.
+void relay_balancer::connect_search()
+{
+    kept_.on_due = [this](byte_span packet)
+    {
+        on_kept_packet(packet);
+        relay_->flush();
+        callers_->flush();
+    };
+    dispatcher_.resume_kept_packet = [this](const flow_key& key)
+    { kept_.release(key); };
+    dispatcher_.send_query = [this](const endpoint& agent, std::uint32_t id,
+                                    const std::vector<flow_key>& flows)
+    { send_flow_query(agent, id, flows); };
+    dispatcher_.schedule_flush = [this](duration delay)
+    {
+        if (query_timer_ == 0)
+            query_timer_ =
+                loop_->timers().schedule(delay, [this] { flush_queries(); });
+    };
+}
+
+void relay_balancer::flush_queries()
+{
+    query_timer_ = 0;
+    dispatcher_.flush_queries();
+    relay_->flush();
+}
+
+void relay_balancer::send_flow_query(const endpoint& agent,
+                                     std::uint32_t id,
+                                     const std::vector<flow_key>& flows)
+{
+    const flow_query query{options_.relay, id, flows};
+    relay_->queue_copy(agent, bytes_of(message_frame(query)));
+}
+
 void relay_balancer::update_routes(const route_set& routes)
 {
     if (!routes_.apply(routes))
@@ -254,15 +290,19 @@
                                    const flow_packet& p)
 {
     if (verdict.retry_after > duration(0))
-        keep_packet(packet, verdict.retry_after);
+        kept_.keep(p.key, packet, verdict.retry_after);
     switch (verdict.decision)
     {
     case dispatch_verdict::action::drop:
         return;
     case dispatch_verdict::action::forward:
-        relay_->queue(agents_.at(verdict.agent).status.relay_address,
-                      write_forward_frame(packet, verdict.info));
+    {
+        const byte_span frame = write_forward_frame(packet, verdict.info);
+        relay_->queue(agents_.at(verdict.agent).status.relay_address, frame);
+        for (const agent_index agent : verdict.more_agents)
+            relay_->queue(agents_.at(agent).status.relay_address, frame);
         return;
+    }
     case dispatch_verdict::action::reset:
         const auto bytes = codec_.build_reset(p.key, verdict.reset_sequence);
         callers_->queue_copy({p.key.source, options_.caller_port},
@@ -271,27 +311,6 @@
     }
 }
 
-void relay_balancer::keep_packet(byte_span packet, duration delay)
-{
-    if (packets_kept_ == max_kept_packets)
-        return;
-    ++packets_kept_;
-    std::vector<std::uint8_t> copy(relay_frame_overhead);
-    copy.insert(copy.end(), packet.begin(), packet.end());
-    loop_->timers().schedule(
-        delay,
-        [this, alive = alive_, copy = std::move(copy)]() mutable
-        {
-            if (!*alive)
-                return;
-            --packets_kept_;
-            on_kept_packet(byte_span(copy.data(), copy.size())
-                               .drop_front(relay_frame_overhead));
-            relay_->flush();
-            callers_->flush();
-        });
-}
-
 void relay_balancer::on_kept_packet(byte_span packet)
 {
     const auto p = codec_.decode_caller(packet);
@@ -330,9 +349,10 @@
     ++malformed_;
 }
 
-void relay_balancer::on_message(const flow_answer& /*answer*/)
+void relay_balancer::on_message(const flow_answer& answer)
 {
-    ++malformed_;
+    dispatcher_.on_query_answer(answer.agent, answer.id, answer.complete,
+                                answer.held);
 }
 
 void relay_balancer::on_message(const balancer_notice& notice)
--- a/test/control/dispatch_messages_test.cpp
+++ b/test/control/dispatch_messages_test.cpp
@@ -2,6 +2,9 @@
 
 #include "briarfield/dispatch/relay_frame.hpp"
 
+#include "briarfield/dispatch/flow_query_queue.hpp"
+
+#include <array>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace
@@ -21,6 +24,7 @@
     CPPUNIT_TEST(status_round_trips);
     CPPUNIT_TEST(status_without_room_is_not_limited);
     CPPUNIT_TEST(queries_and_answers_round_trip);
+    CPPUNIT_TEST(full_query_fits_a_datagram);
     CPPUNIT_TEST(notice_carries_evacuations_and_warmup_limits);
     CPPUNIT_TEST(held_flow_round_trips);
     CPPUNIT_TEST(notice_round_trips_and_fits_a_datagram);
@@ -101,6 +105,22 @@
         CPPUNIT_ASSERT(read_answer.held == a.held);
     }
 
+    /// Larger datagrams are fragmented or dropped on the way.
+    void full_query_fits_a_datagram()
+    {
+        flow_query q;
+        q.balancer = address(9, 7720);
+        q.id = 0xffffffff;
+        std::array<std::uint8_t, 16> bytes{};
+        for (std::size_t i = 0; i < flow_query_queue::options().max_flows; ++i)
+        {
+            bytes.fill(static_cast<std::uint8_t>(100 + i));
+            const ip_address a = ip_address::from_v6(bytes.data());
+            q.flows.push_back({a, a, 40001, 443, transport::tcp});
+        }
+        CPPUNIT_ASSERT(encode_dispatch_message(q).size() < 1200);
+    }
+
     void notice_carries_evacuations_and_warmup_limits()
     {
         balancer_notice n;
--- a/test/dispatch/flow_dispatcher_test.cpp
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -602,7 +602,7 @@
         network_.send(0, 1);
         CPPUNIT_ASSERT_EQUAL(std::size_t{20}, foreign_packets());
         network_.advance(1s);
-        network_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, foreign_packets());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, network_.caller(1).resets_allowed);
     }
 
@@ -669,7 +669,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), network_.caller(1).resets);
         network_.advance(600ms);
         network_.send(1, 1);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), network_.caller(1).answers);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), network_.caller(1).answers);
     }
 
     void paused_balancer_rejects_no_opening()
@@ -710,6 +710,7 @@
             return;
         case 5:
             network.drop_flow_held = !network.drop_flow_held;
+            network.drop_answers = i % 2 == 1;
             network.delayed_balancer = i % 4;
             return;
         case 6:
@@ -719,9 +720,10 @@
         }
     }
 
-    /// Balancers and agents restart, stop responding and lose messages; servers
-    /// join and reject openings. No open flow is ever reset, and each is
-    /// answered in the end.
+    /// Balancers and agents restart, stop responding and lose messages, agents
+    /// with and without complete records of their server's flows; servers join
+    /// and reject openings. No open flow is ever reset, and each is answered in
+    /// the end.
     void flows_survive_generated_schedules()
     {
         const bool holds = rc::check(
@@ -730,6 +732,9 @@
             {
                 dispatch_network network;
                 start(network, 4, 3);
+                // Agents answer from their records, or the servers do.
+                if (*rc::gen::arbitrary<bool>())
+                    network.advance(server_gate::default_max_flow_age);
                 for (std::uint16_t c = 1; c <= 5; ++c)
                     network.open(c % 3U, c);
                 const auto steps = *rc::gen::container<
@@ -740,6 +745,7 @@
                 for (const auto& [operation, flow, i] : steps)
                     step(network, operation, flow, i);
                 network.drop_flow_held = false;
+                network.drop_answers = false;
                 for (std::size_t s = 0; s < network.servers(); ++s)
                     network.server(s).agent_up = true;
                 // An agent sends a heartbeat as soon as it is up.
--- a/test/dispatch/overload_test.cpp
+++ b/test/dispatch/overload_test.cpp
@@ -172,10 +172,13 @@
         dispatch_verdict v = dispatcher_.on_caller_packet(segment);
         while (v.decision == dispatch_verdict::action::forward)
         {
-            asked.insert(v.agent);
-            v = dispatcher_.on_returned_packet(
-                segment, agents_.at(v.agent).status.relay_address,
-                {return_reason::not_taken, 0});
+            std::vector<agent_index> to = v.more_agents;
+            to.push_back(v.agent);
+            asked.insert(to.begin(), to.end());
+            for (const agent_index i : to)
+                v = dispatcher_.on_returned_packet(
+                    segment, agents_.at(i).status.relay_address,
+                    {return_reason::not_taken, 0});
         }
         return v;
     }
--- a/test/dispatch/server_gate_test.cpp
+++ b/test/dispatch/server_gate_test.cpp
@@ -25,6 +25,12 @@
     CPPUNIT_TEST(returned_packet_of_an_unknown_flow_is_not_a_loss);
     CPPUNIT_TEST(searching_balancer_is_told_of_a_flow_of_the_server);
     CPPUNIT_TEST(searching_balancer_is_not_told_of_a_flow_by_its_own_packets);
+    CPPUNIT_TEST(half_closed_flow_is_not_forgotten);
+    CPPUNIT_TEST(idle_flow_is_held_but_not_counted);
+    CPPUNIT_TEST(late_copy_of_an_opening_does_not_hide_the_flow);
+    CPPUNIT_TEST(late_return_of_an_opening_does_not_hide_the_flow);
+    CPPUNIT_TEST(records_of_a_full_table_are_not_complete);
+    CPPUNIT_TEST(search_of_a_kept_packet_is_answered_briefly);
     CPPUNIT_TEST(server_that_resets_requests_is_ejected);
     CPPUNIT_TEST(closing_that_overtakes_the_answer_is_no_failure);
     CPPUNIT_TEST(resets_of_an_overloaded_server_are_no_failures);
@@ -167,6 +173,86 @@
         CPPUNIT_ASSERT_EQUAL(1, lost_flows_);
     }
 
+    bool held(std::uint16_t port = 4000)
+    {
+        return !gate_.held({packet(packet_kind::segment, 0, port).key}).empty();
+    }
+
+    /// An agent with complete records that had forgotten the flow would let
+    /// balancers reset it.
+    void half_closed_flow_is_not_forgotten()
+    {
+        open_flow();
+        from_caller(packet(packet_kind::closing));
+        clock_.advance(30s);
+        gate_.expire();
+        CPPUNIT_ASSERT(held());
+        gate_.on_server_packet(packet(packet_kind::closing), 0);
+        clock_.advance(server_gate::closed_flow_idle_timeout + 1ms);
+        gate_.expire();
+        CPPUNIT_ASSERT(!held());
+    }
+
+    /// Flows of callers that have vanished must not count as load.
+    void idle_flow_is_held_but_not_counted()
+    {
+        open_flow();
+        clock_.advance(server_gate::flow_idle_timeout + 1ms);
+        gate_.expire();
+        CPPUNIT_ASSERT(held());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, gate_.open_flows());
+        from_caller(packet(packet_kind::segment));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, gate_.open_flows());
+        clock_.advance(server_gate::default_max_flow_age + 1ms);
+        gate_.expire();
+        CPPUNIT_ASSERT(!held());
+    }
+
+    void late_copy_of_an_opening_does_not_hide_the_flow()
+    {
+        open_flow();
+        from_caller(packet(packet_kind::opening));
+        CPPUNIT_ASSERT(held());
+    }
+
+    /// The server had returned one copy and taken the next; the packets were
+    /// reordered.
+    void late_return_of_an_opening_does_not_hide_the_flow()
+    {
+        const std::uint32_t tag = from_caller(packet(packet_kind::opening));
+        open_flow();
+        return_from_server(packet(packet_kind::opening), tag);
+        CPPUNIT_ASSERT(held());
+    }
+
+    void records_of_a_full_table_are_not_complete()
+    {
+        clock_.advance(server_gate::default_max_flow_age);
+        for (std::size_t i = 0; i < server_gate::flow_capacity; ++i)
+            from_caller(packet(packet_kind::segment, 0,
+                               static_cast<std::uint16_t>(10000 + i)));
+        CPPUNIT_ASSERT(gate_.status().flows_complete);
+        from_caller(packet(packet_kind::segment));
+        CPPUNIT_ASSERT(!gate_.status().flows_complete);
+    }
+
+    /// Whole packets that searches got back lengthened the queues. Balancers
+    /// that keep no copy need the whole packet.
+    void search_of_a_kept_packet_is_answered_briefly()
+    {
+        for (const bool kept : {true, false})
+        {
+            const gate_verdict v = gate_.on_balancer_packet(
+                packet(packet_kind::segment, 100),
+                {forward_mode::search, 0, kept}, balancer_);
+            const gate_verdict back =
+                return_from_server(packet(packet_kind::segment, 100), v.tag);
+            CPPUNIT_ASSERT(
+                back.returned.reason ==
+                (kept ? return_reason::not_held : return_reason::not_taken));
+        }
+    }
+
     gate_verdict search_for_flow()
     {
         return gate_.on_balancer_packet(packet(packet_kind::segment),
--- a/test/relay/relay_path_test.cpp
+++ b/test/relay/relay_path_test.cpp
@@ -41,6 +41,8 @@
     CPPUNIT_TEST(restart_of_the_server_resets_its_flows);
     CPPUNIT_TEST(restarted_agent_resets_flows_of_a_stopped_server);
     CPPUNIT_TEST(restarted_agent_keeps_open_flows);
+    CPPUNIT_TEST(new_balancer_finds_a_flow_by_a_query);
+    CPPUNIT_TEST(search_of_a_lost_flow_is_answered_briefly);
     CPPUNIT_TEST(malformed_datagrams_are_ignored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -66,6 +68,11 @@
                    { at_caller_.push_back(read_packet(datagram).value()); });
         start_balancer();
         start_agent();
+        put_routes_in_force();
+    }
+
+    void put_routes_in_force()
+    {
         route_set routes;
         routes.version = 1;
         routes.routes = {{local("198.18.0.1:443"), {{"a", 1}}}};
@@ -115,6 +122,7 @@
         options.caller_port = caller_->local().port;
         options.seeds = {balancer_->relay_socket().local()};
         options.service = "a";
+        options.max_flow_age = 100ms;
         agent_ = std::move(
             relay_agent::create(*loop_, options, make_packet_codec(), random_)
                 .value());
@@ -297,6 +305,44 @@
         CPPUNIT_ASSERT(!caller_was_reset());
     }
 
+    /// Replaces the balancer by one that has no record of flows.
+    void replace_balancer()
+    {
+        start_balancer();
+        agent_->try_balancers({balancer_->relay_socket().local()});
+        put_routes_in_force();
+    }
+
+    void new_balancer_finds_a_flow_by_a_query()
+    {
+        establish_flow();
+        replace_balancer();
+        const std::size_t before = at_server_.size();
+        send_from_caller(packet_flags::ack, "second");
+        run_until([this, before] { return at_server_.size() > before; });
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), at_server_.back().payload);
+        const auto& counters = balancer_->dispatcher().query_counters();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             counters.value(query_event::held));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                             counters.value(query_event::sent_packet));
+    }
+
+    /// The returned packet has no payload; the balancer read it as malformed
+    /// if the length in its header was still that of the whole.
+    void search_of_a_lost_flow_is_answered_briefly()
+    {
+        start_agent();
+        run_until([this]
+                  { return !balancer_->agents().at(0).status.flows_complete; });
+        returns_all_ = true;
+        send_from_caller(packet_flags::ack, "question");
+        const auto& counters = balancer_->dispatcher().query_counters();
+        run_until([&counters]
+                  { return counters.value(query_event::not_held) > 0; });
+        CPPUNIT_ASSERT(counters.value(query_event::sent_packet) > 0);
+    }
+
     void malformed_datagrams_are_ignored()
     {
         for (const auto& malformed :
--- a/test/support/dispatch_world.cpp
+++ b/test/support/dispatch_world.cpp
@@ -82,6 +82,59 @@
         clock_, flow_dispatcher::options{}, node.routes, *node.agents,
         place_by_load());
     node.routes.apply(routes_);
+    connect_search(balancer_index);
+}
+
+void dispatch_network::connect_search(std::size_t balancer_index)
+{
+    flow_dispatcher& dispatcher = *balancers_[balancer_index]->dispatcher;
+    dispatcher.resume_kept_packet = [this, balancer_index](const flow_key& key)
+    {
+        release({balancer_index, key.source_port});
+    };
+    dispatcher.schedule_flush = [this, balancer_index](duration delay)
+    { flushes_.emplace(clock_.now() + delay, balancer_index); };
+    dispatcher.send_query =
+        [this, balancer_index](const endpoint& agent, std::uint32_t id,
+                               const std::vector<flow_key>& flows)
+    {
+        ++message_queries;
+        queries_.emplace(clock_.now(),
+                         sent_query{balancer_index, agent, id, flows});
+    };
+}
+
+/// The first packet of a flow stays; the earlier time counts.
+void dispatch_network::keep(std::size_t balancer_index,
+                            const flow_packet& p,
+                            duration delay)
+{
+    const time_point due = clock_.now() + delay;
+    const auto [kept, added] = kept_packets_.emplace(
+        kept_key{balancer_index, p.key.source_port}, kept_packet{due, p});
+    if (!added)
+        kept->second.due = std::min(kept->second.due, due);
+}
+
+void dispatch_network::release(kept_key key)
+{
+    const auto found = kept_packets_.find(key);
+    if (found == kept_packets_.end())
+        return;
+    const flow_packet p = found->second.packet;
+    kept_packets_.erase(found);
+    execute(key.first, p, balancers_[key.first]->dispatcher->on_kept_packet(p));
+}
+
+/// An agent's answer is lost if its balancer has restarted.
+void dispatch_network::answer(const sent_query& query)
+{
+    const std::size_t s = server_at(query.agent);
+    if (!servers_[s]->agent_up || drop_answers)
+        return;
+    server_gate& gate = *servers_[s]->gate;
+    balancers_[query.balancer_index]->dispatcher->on_query_answer(
+        query.agent, query.id, gate.flows_complete(), gate.held(query.flows));
 }
 
 void dispatch_network::restart_agent(std::size_t server_index)
@@ -154,20 +207,48 @@
     }
 }
 
-/// Dispatches each kept packet when it is due.
 void dispatch_network::advance_clock(duration d)
 {
     const time_point end = clock_.now() + d;
-    while (!kept_packets_.empty() && kept_packets_.begin()->first <= end)
+    while (run_next_before(end))
+        continue;
+    clock_.advance(end - clock_.now());
+}
+
+/// Runs the next event that is due by \a end: a kept packet, a query's arrival
+/// or a balancer's timer.
+bool dispatch_network::run_next_before(time_point end)
+{
+    const auto kept =
+        std::min_element(kept_packets_.begin(), kept_packets_.end(),
+                         [](const auto& a, const auto& b)
+                         { return a.second.due < b.second.due; });
+    const time_point never = end + duration(1);
+    const time_point kept_due =
+        kept == kept_packets_.end() ? never : kept->second.due;
+    const time_point query_due =
+        queries_.empty() ? never : queries_.begin()->first;
+    const time_point flush_due =
+        flushes_.empty() ? never : flushes_.begin()->first;
+    const time_point next = std::min({kept_due, query_due, flush_due});
+    if (next > end)
+        return false;
+    clock_.advance(std::max(duration(0), next - clock_.now()));
+    if (next == flush_due)
     {
-        const auto [due, kept] = *kept_packets_.begin();
-        kept_packets_.erase(kept_packets_.begin());
-        clock_.advance(std::max(duration(0), due - clock_.now()));
-        execute(kept.balancer_index, kept.packet,
-                balancers_[kept.balancer_index]->dispatcher->on_kept_packet(
-                    kept.packet));
+        const std::size_t balancer_index = flushes_.begin()->second;
+        flushes_.erase(flushes_.begin());
+        balancers_[balancer_index]->dispatcher->flush_queries();
     }
-    clock_.advance(end - clock_.now());
+    else if (next == query_due)
+    {
+        const sent_query query = queries_.begin()->second;
+        queries_.erase(queries_.begin());
+        answer(query);
+    }
+    else
+        release(kept->first);
+    return true;
 }
 
 void dispatch_network::check_agents()
@@ -267,9 +348,12 @@
             balancers_[balancer_index]->dispatcher->on_caller_packet(p));
 }
 
-void dispatch_network::send(std::size_t balancer_index, std::uint16_t caller)
+void dispatch_network::send(std::size_t balancer_index,
+                            std::uint16_t caller,
+                            std::uint32_t sequence)
 {
     flow_packet p = packet(caller, packet_kind::segment);
+    p.sequence = sequence;
     p.payload_size = 100;
     execute(balancer_index, p,
             balancers_[balancer_index]->dispatcher->on_caller_packet(p));
@@ -283,16 +367,21 @@
     {
         simulated_caller& c = callers_[p.key.source_port];
         ++(may_be_reset(p.key.source_port) ? c.resets_allowed : c.resets);
+        uncertainty_ = search_uncertainty::none;
     }
-    if (v.decision == dispatch_verdict::action::drop)
-    {
+    if (v.uncertainty != search_uncertainty::none)
         uncertainty_ = v.uncertainty;
-    }
     if (v.retry_after > duration(0))
-        kept_packets_.emplace(clock_.now() + v.retry_after,
-                              kept_packet{balancer_index, p});
-    if (v.decision == dispatch_verdict::action::forward)
-        deliver(balancer_index, p, v);
+        keep(balancer_index, p, v.retry_after);
+    if (v.decision != dispatch_verdict::action::forward)
+        return;
+    deliver(balancer_index, p, v);
+    for (const agent_index agent : v.more_agents)
+    {
+        dispatch_verdict copy = v;
+        copy.agent = agent;
+        deliver(balancer_index, p, copy);
+    }
 }
 
 void dispatch_network::deliver(std::size_t balancer_index,
@@ -301,6 +390,7 @@
 {
     const std::size_t s = server_at(
         balancers_[balancer_index]->agents->at(v.agent).status.relay_address);
+    packet_queries += v.event == dispatch_event::searched ? 1 : 0;
     if (!servers_[s]->agent_up)
         return;
     const gate_verdict g = servers_[s]->gate->on_balancer_packet(
@@ -353,6 +443,8 @@
     {
         flow_packet again = p;
         again.returned = false;
+        if (g.returned.reason == return_reason::not_held)
+            again.payload_size = 0;
         const std::size_t b = balancer_at(g.balancer);
         return execute(b, again,
                        balancers_[b]->dispatcher->on_returned_packet(
--- a/test/support/dispatch_world.hpp
+++ b/test/support/dispatch_world.hpp
@@ -86,11 +86,14 @@
               std::uint16_t caller,
               unsigned retransmission_count = 0,
               std::uint32_t sequence = 1);
-    void send(std::size_t balancer_index, std::uint16_t caller);
+    void send(std::size_t balancer_index,
+              std::uint16_t caller,
+              std::uint32_t sequence = 0);
 
     /// Delivers a heartbeat of an agent to every balancer.
     void deliver_heartbeat(const agent_status& status);
 
+    /// Of the last search that has ended; none if it ended in a reset.
     search_uncertainty uncertainty() const { return uncertainty_; }
 
     simulated_server& server(std::size_t server_index)
@@ -118,6 +121,13 @@
     /// Drops the messages by which agents report that they have a flow.
     bool drop_flow_held = false;
 
+    /// Drops the answers of agents to queries.
+    bool drop_answers = false;
+
+    /// Packets that balancers have sent to query agents, and messages.
+    std::size_t packet_queries = 0;
+    std::size_t message_queries = 0;
+
 private:
     struct simulated_balancer
     {
@@ -130,10 +140,22 @@
     /// A packet that a balancer keeps to continue a search.
     struct kept_packet
     {
-        std::size_t balancer_index = 0;
+        time_point due{};
         flow_packet packet;
     };
 
+    /// Balancer and caller's port.
+    using kept_key = std::pair<std::size_t, std::uint16_t>;
+
+    /// A query on its way to an agent.
+    struct sent_query
+    {
+        std::size_t balancer_index = 0;
+        endpoint agent;
+        std::uint32_t id = 0;
+        std::vector<flow_key> flows;
+    };
+
     flow_packet packet(std::uint16_t caller, packet_kind kind) const;
     void execute(std::size_t balancer_index,
                  const flow_packet& p,
@@ -145,6 +167,11 @@
     void from_server(std::size_t server_index,
                      const flow_packet& p,
                      std::uint32_t tag);
+    void connect_search(std::size_t balancer_index);
+    void keep(std::size_t balancer_index, const flow_packet& p, duration delay);
+    void release(kept_key key);
+    bool run_next_before(time_point end);
+    void answer(const sent_query& query);
     void make_agent(simulated_server& node, std::uint64_t born_ms);
     void exchange_agent_lists();
     void advance_clock(duration d);
@@ -164,7 +191,9 @@
     std::map<std::uint16_t, simulated_caller> callers_;
     route_set routes_;
     std::uint64_t born_ms_ = 1;
-    std::multimap<time_point, kept_packet> kept_packets_; ///< By due time.
+    std::map<kept_key, kept_packet> kept_packets_;
+    std::multimap<time_point, sent_query> queries_;  ///< By time of arrival.
+    std::multimap<time_point, std::size_t> flushes_; ///< Balancers, by time.
     search_uncertainty uncertainty_ = search_uncertainty::none;
 };
 
