--- a/test/dispatch/flow_dispatcher_test.cpp
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(recently_started_balancer_searches_twice);
     CPPUNIT_TEST(search_goes_on_past_agents_that_do_not_respond);
     CPPUNIT_TEST(lost_query_is_repeated);
+    CPPUNIT_TEST(agent_that_comes_back_during_a_search_is_queried);
     CPPUNIT_TEST(flow_of_a_restarting_agent_is_found_when_it_is_back);
     CPPUNIT_TEST(restarting_agents_are_queried_last);
     CPPUNIT_TEST(new_server_gets_flows_once_all_balancers_track_it);
@@ -248,6 +249,28 @@
         CPPUNIT_ASSERT(foreign_packets() <= 16);
     }
 
+    /// The flow's agent had been given up when the search began, and came back
+    /// while another one was waited for. It counted as having answered, and its
+    /// flow was reset.
+    void agent_that_comes_back_during_a_search_is_queried()
+    {
+        start(4, 2);
+        network_.open(0, 1);
+        const std::size_t holder = network_.holder(1);
+        const std::size_t other = (holder + 1) % 4;
+        network_.server(holder).agent_up = false;
+        network_.advance(3000ms);
+        network_.server(other).agent_up = false;
+        network_.advance(1040ms);
+        network_.send(0, 1);
+        network_.server(holder).agent_up = true;
+        network_.server(other).agent_up = true;
+        network_.send_heartbeats();
+        network_.advance(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), network_.caller(1).resets);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), network_.caller(1).answers);
+    }
+
     void flow_of_a_restarting_agent_is_found_when_it_is_back()
     {
         start(6, 2);
@@ -579,7 +602,7 @@
         network_.send(0, 1);
         CPPUNIT_ASSERT_EQUAL(std::size_t{20}, foreign_packets());
         network_.advance(1s);
-        network_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{20}, foreign_packets());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, network_.caller(1).resets_allowed);
     }
 
@@ -646,7 +669,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), network_.caller(1).resets);
         network_.advance(600ms);
         network_.send(1, 1);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), network_.caller(1).answers);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), network_.caller(1).answers);
     }
 
     void paused_balancer_rejects_no_opening()
@@ -687,6 +710,7 @@
             return;
         case 5:
             network.drop_flow_held = !network.drop_flow_held;
+            network.drop_answers = i % 2 == 1;
             network.delayed_balancer = i % 4;
             return;
         case 6:
@@ -696,9 +720,10 @@
         }
     }
 
-    /// Balancers and agents restart, stop responding and lose messages; servers
-    /// join and reject openings. No open flow is ever reset, and each is
-    /// answered in the end.
+    /// Balancers and agents restart, stop responding and lose messages, agents
+    /// with and without complete records of their server's flows; servers join
+    /// and reject openings. No open flow is ever reset, and each is answered in
+    /// the end.
     void flows_survive_generated_schedules()
     {
         const bool holds = rc::check(
@@ -707,6 +732,9 @@
             {
                 dispatch_network network;
                 start(network, 4, 3);
+                // Agents answer from their records, or the servers do.
+                if (*rc::gen::arbitrary<bool>())
+                    network.advance(server_gate::default_max_flow_age);
                 for (std::uint16_t c = 1; c <= 5; ++c)
                     network.open(c % 3U, c);
                 const auto steps = *rc::gen::container<
@@ -717,8 +745,11 @@
                 for (const auto& [operation, flow, i] : steps)
                     step(network, operation, flow, i);
                 network.drop_flow_held = false;
+                network.drop_answers = false;
                 for (std::size_t s = 0; s < network.servers(); ++s)
                     network.server(s).agent_up = true;
+                // An agent sends a heartbeat as soon as it is up.
+                network.send_heartbeats();
                 network.advance(1s);
                 for (std::uint16_t c = 1; c <= 5; ++c)
                 {
--- a/test/relay/relay_path_test.cpp
+++ b/test/relay/relay_path_test.cpp
@@ -41,6 +41,8 @@
     CPPUNIT_TEST(restart_of_the_server_resets_its_flows);
     CPPUNIT_TEST(restarted_agent_resets_flows_of_a_stopped_server);
     CPPUNIT_TEST(restarted_agent_keeps_open_flows);
+    CPPUNIT_TEST(new_balancer_finds_a_flow_by_a_query);
+    CPPUNIT_TEST(search_of_a_lost_flow_is_answered_briefly);
     CPPUNIT_TEST(malformed_datagrams_are_ignored);
     CPPUNIT_TEST(evacuated_zone_receives_no_opening);
     CPPUNIT_TEST(restarted_agent_awaits_the_evacuated_zones);
@@ -57,6 +59,7 @@
     std::unique_ptr<relay_balancer> balancer_;
     bool follows_evacuations_ = false;
     warmup_limiter::options warmup_;
+    duration max_flow_age_ = 100ms;
     bool returns_all_ = false; ///< The server returns every packet.
     std::vector<packet> at_server_;
     std::vector<packet> at_caller_;
@@ -131,6 +134,7 @@
         options.zone = "z";
         options.follows_evacuations = follows_evacuations_;
         options.warmup = warmup_;
+        options.max_flow_age = max_flow_age_;
         agent_ = std::move(
             relay_agent::create(*loop_, options, make_packet_codec(), random_)
                 .value());
@@ -394,6 +398,46 @@
         run_until([&] { return cut_off->evacuations().contains("x"); });
     }
 
+    /// Replaces the balancer by one that has no record of flows.
+    void replace_balancer()
+    {
+        start_balancer();
+        agent_->try_balancers({balancer_->relay_socket().local()});
+        apply_routes({});
+    }
+
+    void new_balancer_finds_a_flow_by_a_query()
+    {
+        establish_flow();
+        replace_balancer();
+        const std::size_t before = at_server_.size();
+        send_from_caller(packet_flags::ack, "second");
+        run_until([this, before] { return at_server_.size() > before; });
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), at_server_.back().payload);
+        const auto& counters = balancer_->dispatcher().query_counters();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                             counters.value(query_event::held));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                             counters.value(query_event::sent_packet));
+    }
+
+    /// The returned packet has no payload; the balancer read it as malformed
+    /// if the length in its header was still that of the whole.
+    void search_of_a_lost_flow_is_answered_briefly()
+    {
+        max_flow_age_ = 60s;
+        start_agent();
+        // The first agent counts as gone after this time.
+        advance_time(5s);
+        returns_all_ = true;
+        send_from_caller(packet_flags::ack, "question");
+        const auto& counters = balancer_->dispatcher().query_counters();
+        run_until([&counters]
+                  { return counters.value(query_event::not_held) > 0; });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                             counters.value(query_event::sent));
+    }
+
     void malformed_datagrams_are_ignored()
     {
         for (const auto& malformed :
