Placement by expected answer time; admission by priority and work

Cause: servers of one service differ in speed by 2.4, but placement compares requests per slot only, and the agent's service time left out requests that had waited. When all servers are overloaded, an opening was forced or rejected by the aim alone, whatever its route's priority or work.

Change: service_time_gauge measures the time in a slot of each request, also of those that waited, and counts requests that run longer than the mean before they end. place_by_load uses these times where service_time_comparison finds them clearly unequal; otherwise the choice is the former one. admission_policy decides on openings that only overloaded servers can take: by the aim as before if all routes have one priority, otherwise earlier the more work a request takes for the weight of its priority, with a guaranteed share of one in eight openings. Agents report times by route every two seconds if their server has several routes. Counters of openings rejected and forced by priority; priority, cost, expected time and aim in the log of a rejection.

--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -3,9 +3,12 @@
 
 #include "briarfield/core/counter_set.hpp"
 #include "briarfield/core/pause_detector.hpp"
+#include "briarfield/dispatch/admission_costs.hpp"
+#include "briarfield/dispatch/admission_policy.hpp"
 #include "briarfield/dispatch/agent_directory.hpp"
 #include "briarfield/dispatch/flow_locator.hpp"
 #include "briarfield/dispatch/placement.hpp"
+#include "briarfield/dispatch/priority_class.hpp"
 #include "briarfield/dispatch/route_table.hpp"
 
 #include <chrono>
@@ -81,6 +84,8 @@
     std::size_t queried = 0;
     /// After an unsuccessful search.
     search_uncertainty uncertainty = search_uncertainty::none;
+    /// For dispatch_event::refused_overloaded.
+    admission_request rejected;
     /// If positive, a copy of the packet is to be passed to
     /// \ref flow_dispatcher::on_kept_packet after this delay, so that the
     /// search need not wait for the caller's retransmission.
@@ -148,10 +153,8 @@
         /// on the least loaded one: asking more takes longer than waiting
         /// there.
         std::size_t max_overloaded_asked = 6;
-        /// Part of the aim of a route that the expected time to an answer may
-        /// take on the least loaded server; otherwise an opening is rejected.
-        /// The rest covers requests that take longer than the mean.
-        double max_aim_fraction = 2.0 / 3;
+        /// Decides on openings that only overloaded servers can take.
+        admission_policy admit = admit_by_priority(admission_limits());
         /// Cached flows without a packet for this long are removed.
         duration idle_timeout = std::chrono::seconds(20);
     };
@@ -174,6 +177,12 @@
     /// dispatch_verdict::retry_after. Drops the packet if the search has ended.
     dispatch_verdict on_kept_packet(const flow_packet& packet);
 
+    /// \brief Records the times of requests by route that an agent reports.
+    void on_route_times(const std::vector<route_time>& report)
+    {
+        work_.record(report);
+    }
+
     /// \brief Records that the server of the agent at \a from has the flow.
     void on_flow_held(const flow_key& key, const endpoint& from);
 
@@ -183,6 +192,12 @@
 
     const counter_set<dispatch_event>& counters() const { return counters_; }
 
+    /// \brief Openings rejected because all servers asked were overloaded.
+    const counter_set<priority_class>& rejected() const { return rejected_; }
+
+    /// \brief Openings forced on an overloaded server.
+    const counter_set<priority_class>& forced() const { return forced_; }
+
     std::size_t flows() const { return flows_.size(); }
 
     /// \brief Called for each decision worth a log line: all but packets sent
@@ -217,7 +232,14 @@
                            flow_location& location,
                            service_tag& service);
     bool may_reject_overload(const flow_packet& packet) const;
-    bool misses_aim(const route_table::entry& route, agent_index agent) const;
+    admission_request make_admission_request(const flow_packet& packet,
+                                             const route_table::entry& route,
+                                             const flow_location& location,
+                                             agent_index agent);
+    dispatch_verdict reject_overload(const flow_packet& packet,
+                                     const route_table::entry& route,
+                                     const flow_location& location,
+                                     const admission_request& request);
     dispatch_verdict reject_opening(const flow_packet& packet,
                                     const flow_location& location,
                                     dispatch_event event);
@@ -267,8 +289,12 @@
     const route_table* routes_;
     agent_directory* agents_;
     placement_policy policy_;
+    route_work work_;
+    admission_costs costs_;
     flow_locator flows_;
     counter_set<dispatch_event> counters_;
+    counter_set<priority_class> rejected_;
+    counter_set<priority_class> forced_;
     /// After a pause every agent seems to have timed out, although its
     /// heartbeats wait to be read; so the balancer knows as little as after a
     /// start.
--- a/include/briarfield/dispatch/placement.hpp
+++ b/include/briarfield/dispatch/placement.hpp
@@ -49,7 +49,10 @@
 /// \brief The server with the fewest flows per slot.
 placement_policy place_by_flows();
 
-/// \brief The least loaded server; among equals the rank decides.
+/// \brief The server that is expected to answer first, by its load and, where
+/// \ref service_time_comparison finds the servers unequal, by its measured
+/// service time. Otherwise the least loaded one. Among equals the zone and then
+/// the rank decides.
 placement_policy place_by_load();
 
 } // namespace briarfield
--- a/include/briarfield/dispatch/route_table.hpp
+++ b/include/briarfield/dispatch/route_table.hpp
@@ -5,6 +5,7 @@
 #include "briarfield/core/endpoint.hpp"
 #include "briarfield/core/error.hpp"
 #include "briarfield/dispatch/flow_packet.hpp"
+#include "briarfield/dispatch/priority_class.hpp"
 
 #include <cstdint>
 #include <string>
@@ -29,6 +30,7 @@
     std::vector<service_share> shares;
     /// Time within which callers want an answer; 0: not given.
     duration aim{};
+    std::uint8_t priority = lowest_priority; ///< 0 is the highest.
 };
 
 /// \brief All routes of one version of the configuration.
@@ -63,6 +65,9 @@
         std::vector<target> targets;
         std::uint64_t total_weight = 0;
         duration aim{}; ///< See dispatch_route::aim.
+        std::uint8_t priority = lowest_priority;
+        /// Number of lower priorities among the routes in force.
+        unsigned priority_level = 0;
 
         /// \brief Target for a flow with hash \a hash; the same for each
         /// retransmission of its opening. \returns null if no weight is
@@ -84,6 +89,9 @@
 
     std::size_t size() const { return entries_.size(); }
 
+    /// \brief Number of different priorities of the routes in force.
+    unsigned priority_levels() const { return priority_levels_; }
+
     /// \brief Entry of \a address, or null.
     const entry* find(const endpoint& address) const;
 
@@ -91,6 +99,7 @@
 
 private:
     std::uint64_t version_ = 0;
+    unsigned priority_levels_ = 0;
     std::unordered_map<endpoint, entry, endpoint_hash> entries_;
     std::unordered_set<endpoint, endpoint_hash> removed_;
 };
--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -6,6 +6,7 @@
 #include "briarfield/dispatch/agent_directory.hpp"
 #include "briarfield/dispatch/load_gauge.hpp"
 #include "briarfield/dispatch/outlier_ejection.hpp"
+#include "briarfield/dispatch/route_time_gauge.hpp"
 #include "briarfield/dispatch/server_registration.hpp"
 #include "briarfield/dispatch/service_time_gauge.hpp"
 #include "briarfield/flow/flow_table.hpp"
@@ -116,7 +117,8 @@
     static constexpr duration request_timeout = std::chrono::seconds(3);
 
     server_gate(const clock& c, server_registration& server)
-        : clock_(&c), server_(&server), load_(c), ejection_(c)
+        : clock_(&c), server_(&server), load_(c), service_time_(c),
+          route_times_(c), ejection_(c)
     {
     }
 
@@ -184,9 +186,9 @@
         /// The balancer has been notified of the flow.
         bool balancer_notified = false;
         bool in_progress = false;
-        bool found_free_slot = false; ///< The last request did not wait.
-        bool closed = false;          ///< One end has closed or reset it.
-        bool sent_by_server = false;  ///< The server has sent any packet.
+        service_time_gauge::request_id request = 0; ///< The last one.
+        bool closed = false;         ///< One end has closed or reset it.
+        bool sent_by_server = false; ///< The server has sent any packet.
         bool answered = false; ///< The server has sent data after accepting.
         short_packet probe;    ///< See \ref probes.
     };
@@ -195,7 +197,8 @@
     void record_packet(const flow_packet& packet,
                        forward_mode mode,
                        std::uint16_t balancer);
-    void end_request(tracked_flow& record);
+    duration end_request(tracked_flow& record, bool answered = false);
+    void record_work(const flow_key& key, duration took);
     void record_answer_time(const tracked_flow& record);
     void record_outcome(const tracked_flow& record, const flow_packet& packet);
     void close(tracked_flow& record);
@@ -222,6 +225,7 @@
     time_point last_flow_lost_{}; ///< When \ref on_flow_lost was last called.
     load_gauge load_;
     service_time_gauge service_time_;
+    route_time_gauge route_times_;
     outlier_ejection ejection_;
     counter_set<gate_event> counters_;
     histogram request_times_ = histogram::of_durations();
--- a/include/briarfield/dispatch/service_time_gauge.hpp
+++ b/include/briarfield/dispatch/service_time_gauge.hpp
@@ -1,34 +1,69 @@
 #ifndef BRIARFIELD_DISPATCH_SERVICE_TIME_GAUGE_HPP
 #define BRIARFIELD_DISPATCH_SERVICE_TIME_GAUGE_HPP
 
-#include "briarfield/core/clock.hpp"
+#include "briarfield/dispatch/capped_mean.hpp"
 
 #include <chrono>
+#include <cstdint>
+#include <deque>
+#include <vector>
 
 namespace briarfield
 {
 
-/// \brief Exponentially weighted mean of the time in which a server answers a
-/// request that need not wait for others.
+/// \brief Exponentially weighted mean of the time that a server needs for a
+/// request, without the time that the request waits for a slot.
+///
+/// The server is taken to start waiting requests in the order of their arrival.
+/// So a request that waited starts when an earlier one has ended, and a server
+/// whose slots are always in use is measured, too.
 class service_time_gauge
 {
 public:
-    /// \brief Weight of a new observation.
-    static constexpr double weight = 1.0 / 16;
+    /// \brief A request in progress; 0 is none.
+    using request_id = std::uint64_t;
 
-    /// \brief Records a request that found a free slot and took \a time.
-    void record(duration time)
-    {
-        const duration change =
-            std::chrono::duration_cast<duration>(weight * (time - mean_));
-        mean_ = mean_ == duration(0) ? time : mean_ + change;
-    }
+    /// \brief A request that is still running counts for at most this many
+    /// means: enough that a server that has stopped answering is seen within
+    /// seconds.
+    static constexpr double max_running_means = 32;
+
+    /// \brief After this long without a request, the mean may be outdated.
+    static constexpr duration idle_limit = std::chrono::seconds(2);
+
+    /// \brief Number of requests that an outdated mean counts for.
+    static constexpr double outdated_count = 4;
+
+    explicit service_time_gauge(const clock& c) : clock_(&c) {}
+
+    /// \brief Records the start of a request at a server with \a slots.
+    request_id begin(unsigned slots);
 
-    /// \brief The mean; 0 before the first request.
-    duration mean() const { return mean_; }
+    /// \brief Records the end of \a request.
+    ///
+    /// \returns its time in a slot if it has \a answered set; 0 if unknown.
+    duration end(request_id request, bool answered);
+
+    /// \brief The mean; 0 before the first request. Requests that have been
+    /// running for longer than the mean are included with their time so far.
+    duration mean() const;
 
 private:
-    duration mean_{};
+    struct running_request
+    {
+        request_id id = 0;
+        time_point start{};
+    };
+
+    void start_waiting();
+
+    const clock* clock_;
+    capped_mean mean_;
+    unsigned slots_ = 1;
+    request_id last_id_ = 0;
+    time_point last_end_{};
+    std::vector<running_request> running_;
+    std::deque<request_id> waiting_;
 };
 
 } // namespace briarfield
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -96,6 +96,8 @@
 
     result<void> open();
     void set_log_hooks();
+    void log_overload_rejection(const flow_packet& p,
+                                const admission_request& request);
     void on_caller_batch(const udp_socket::datagram* batch, std::size_t count);
     void on_relay_batch(const udp_socket::datagram* batch, std::size_t count);
     void on_caller_datagram(byte_span datagram);
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -59,7 +59,8 @@
                                  agent_directory& agents,
                                  placement_policy policy)
     : clock_(&c), options_(std::move(opts)), routes_(&routes), agents_(&agents),
-      policy_(std::move(policy)), pauses_(c, options_.pause_limit)
+      policy_(std::move(policy)), work_(c), costs_(c, routes, work_),
+      pauses_(c, options_.pause_limit)
 {
 }
 
@@ -153,12 +154,14 @@
     if (agent == no_agent)
         return reject_opening(packet, location,
                               dispatch_event::refused_no_server);
-    // The servers that are not overloaded have all been tried.
-    location.force = location.force || agents_->overloaded(agent);
-    if (location.force && may_reject_overload(packet) &&
-        misses_aim(*route, agent))
-        return reject_opening(packet, location,
-                              dispatch_event::refused_overloaded);
+    const admission_request request =
+        make_admission_request(packet, *route, location, agent);
+    const admission decision = options_.admit(request);
+    location.force = decision != admission::place;
+    if (decision == admission::reject)
+        return reject_overload(packet, *route, location, request);
+    if (decision == admission::force)
+        forced_.add(priority_class_of(route->priority));
     const bool retried = !location.tried.empty();
     location.state = location_state::placed;
     location.agent = agent;
@@ -208,14 +211,38 @@
            !running_for(options_.startup_grace);
 }
 
-/// Whether a request on \a agent is expected to be answered too late for the
-/// route: its caller does better to try again than to wait.
-bool flow_dispatcher::misses_aim(const route_table::entry& route,
-                                 agent_index agent) const
+admission_request
+flow_dispatcher::make_admission_request(const flow_packet& packet,
+                                        const route_table::entry& route,
+                                        const flow_location& location,
+                                        agent_index agent)
 {
-    const duration expected = expected_answer_time(agents_->at(agent));
-    return route.aim > duration(0) &&
-           expected > options_.max_aim_fraction * route.aim;
+    admission_request request;
+    // The servers that are not overloaded have all been tried.
+    request.overloaded = location.force || agents_->overloaded(agent);
+    request.may_reject = may_reject_overload(packet);
+    request.priorities_differ = routes_->priority_levels() > 1;
+    if (request.overloaded && request.priorities_differ)
+        request.cost = costs_.relative(destination_of(packet.key), route);
+    request.aim = route.aim;
+    request.expected = expected_answer_time(agents_->at(agent));
+    request.flow_hash = hash_of(packet.key);
+    return request;
+}
+
+dispatch_verdict
+flow_dispatcher::reject_overload(const flow_packet& packet,
+                                 const route_table::entry& route,
+                                 const flow_location& location,
+                                 const admission_request& request)
+{
+    dispatch_verdict verdict =
+        reject_opening(packet, location, dispatch_event::refused_overloaded);
+    verdict.rejected = request;
+    // During the startup grace the opening is dropped instead.
+    if (verdict.event == dispatch_event::refused_overloaded)
+        rejected_.add(priority_class_of(route.priority));
+    return verdict;
 }
 
 /// Resets an opening that no server has taken, so that nothing has run.
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -1,5 +1,7 @@
 #include "briarfield/dispatch/placement.hpp"
 
+#include "briarfield/dispatch/service_time_comparison.hpp"
+
 #include <algorithm>
 #include <xxhash.h>
 
@@ -126,8 +128,21 @@
 {
     return [](const std::vector<placement_candidate>& all)
     {
-        return min_cost_candidate(all, [](const placement_candidate& c)
-                                  { return expected_load(*c.record); });
+        service_time_comparison times;
+        for (const placement_candidate& c : all)
+            times.add(*c.record);
+        if (!times.unequal())
+            return min_cost_candidate(all, [](const placement_candidate& c)
+                                      { return expected_load(*c.record); });
+        // The time until an answer, in mean times of a request, less the
+        // request itself: the same unit as the load of equal servers.
+        return min_cost_candidate(
+            all,
+            [&times](const placement_candidate& c)
+            {
+                const double turns = expected_load(*c.record) + 1;
+                return turns * times.relative(*c.record) - 1;
+            });
     };
 }
 
--- a/src/dispatch/route_table.cpp
+++ b/src/dispatch/route_table.cpp
@@ -1,6 +1,9 @@
 #include "briarfield/dispatch/route_table.hpp"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
+#include <set>
 
 namespace briarfield
 {
@@ -12,6 +15,7 @@
 {
     route_table::entry built;
     built.aim = route.aim;
+    built.priority = route.priority;
     for (const service_share& s : route.shares)
     {
         built.targets.push_back({make_service_tag(s.service), s.weight});
@@ -20,6 +24,19 @@
     return built;
 }
 
+/// Sets the level of each entry and returns the number of levels.
+unsigned set_priority_levels(
+    std::unordered_map<endpoint, route_table::entry, endpoint_hash>& entries)
+{
+    std::set<std::uint8_t, std::greater<>> priorities;
+    for (const auto& [address, e] : entries)
+        priorities.insert(e.priority);
+    for (auto& [address, e] : entries)
+        e.priority_level = static_cast<unsigned>(
+            std::distance(priorities.begin(), priorities.find(e.priority)));
+    return static_cast<unsigned>(priorities.size());
+}
+
 } // namespace
 
 const route_table::target* route_table::entry::pick(std::uint64_t hash) const
@@ -55,6 +72,7 @@
             removed_.insert(address);
     for (const auto& [address, new_entry] : new_entries)
         removed_.erase(address);
+    priority_levels_ = set_priority_levels(new_entries);
     entries_ = std::move(new_entries);
     version_ = routes.version;
     return true;
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -1,5 +1,7 @@
 #include "briarfield/dispatch/server_gate.hpp"
 
+#include "flow_parts.hpp"
+
 #include <algorithm>
 #include <iterator>
 
@@ -143,6 +145,7 @@
     reported.flows = open_count_;
     reported.requests_in_progress = static_cast<float>(load_.mean());
     reported.service_time = service_time_.mean();
+    reported.route_times = route_times_.report();
     reported.warmup_ms =
         latest.warmup_ms > age.count()
             ? static_cast<std::uint32_t>(latest.warmup_ms - age.count())
@@ -212,7 +215,7 @@
     if (packet.payload_size > 0 && record.in_progress)
         record_answer_time(record);
     if (packet.payload_size > 0)
-        end_request(record);
+        record_work(packet.key, end_request(record, true));
     if (!record.balancer_notified)
     {
         record.balancer_notified = true;
@@ -227,10 +230,13 @@
 
 void server_gate::record_answer_time(const tracked_flow& record)
 {
-    const duration took = record.last_packet - record.request_start;
-    request_times_.record(took);
-    if (record.found_free_slot)
-        service_time_.record(took);
+    request_times_.record(record.last_packet - record.request_start);
+}
+
+void server_gate::record_work(const flow_key& key, duration took)
+{
+    if (took > duration(0))
+        route_times_.record(destination_of(key), took);
 }
 
 /// Judges the server by how it ends a request: with the first byte of an answer
@@ -372,8 +378,7 @@
         record.in_progress = true;
         record.request_start = now;
         load_.begin_request();
-        record.found_free_slot =
-            load_.in_progress() <= static_cast<int>(server_->latest().slots);
+        record.request = service_time_.begin(server_->latest().slots);
     }
     if (packet.kind == packet_kind::reset ||
         packet.kind == packet_kind::closing)
@@ -390,12 +395,13 @@
     record.closed = true;
 }
 
-void server_gate::end_request(tracked_flow& record)
+duration server_gate::end_request(tracked_flow& record, bool answered)
 {
     if (!record.in_progress)
-        return;
+        return {};
     record.in_progress = false;
     load_.end_request();
+    return service_time_.end(record.request, answered);
 }
 
 void server_gate::remove_flow(const flow_key& key)
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -118,6 +118,21 @@
     return ok();
 }
 
+void relay_balancer::log_overload_rejection(const flow_packet& p,
+                                            const admission_request& request)
+{
+    const route_table::entry* route =
+        routes_.find({p.key.destination, p.key.destination_port});
+    spdlog::info("event={} flow={} packet={} copy={} routes={} agents={} "
+                 "priority={} cost={:.2f} expected_ms={} aim_ms={}",
+                 dispatch_event_name(dispatch_event::refused_overloaded),
+                 flow_name(p.key), packet_kind_name(p.kind),
+                 p.retransmission_count, routes_.version(), agents_.size(),
+                 route == nullptr ? lowest_priority : route->priority,
+                 request.cost, whole_ms(request.expected),
+                 whole_ms(request.aim));
+}
+
 void relay_balancer::set_log_hooks()
 {
     dispatcher_.on_decision =
@@ -125,6 +140,11 @@
     {
         if (verdict.event == dispatch_event::searched)
             return;
+        if (verdict.event == dispatch_event::refused_overloaded)
+        {
+            log_overload_rejection(p, verdict.rejected);
+            return;
+        }
         if (verdict.agent == no_agent)
         {
             spdlog::info("event={} flow={} packet={} copy={} routes={} "
@@ -313,7 +333,10 @@
 void relay_balancer::on_message(const agent_status& status)
 {
     const agent_index known_agent = agents_.find(status.relay_address);
-    if (!agents_.on_heartbeat(status) || known_agent != no_agent)
+    if (!agents_.on_heartbeat(status))
+        return;
+    dispatcher_.on_route_times(status.route_times);
+    if (known_agent != no_agent)
         return;
     // An agent discovers all balancers from the first one that replies.
     send_notice(status.relay_address, make_notice(notice_content::balancers));
--- a/test/dispatch/overload_test.cpp
+++ b/test/dispatch/overload_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(opening_is_forced_on_the_least_loaded_server);
     CPPUNIT_TEST(opening_that_would_miss_the_aim_is_rejected);
     CPPUNIT_TEST(opening_of_a_route_without_aim_is_not_rejected);
+    CPPUNIT_TEST(openings_are_rejected_and_counted_by_priority);
     CPPUNIT_TEST(later_copy_of_an_opening_is_not_rejected);
     CPPUNIT_TEST(recently_started_balancer_rejects_no_overload);
     CPPUNIT_TEST(load_in_a_heartbeat_does_not_replace_a_newer_one);
@@ -140,6 +141,41 @@
                        forward_mode::opening_forced);
     }
 
+    /// Six requests on two slots take 150 ms: less than two thirds of the aim,
+    /// more than the lowest priority may wait.
+    void openings_are_rejected_and_counted_by_priority()
+    {
+        start(1, 300ms);
+        route_set routes;
+        routes.version = 2;
+        routes.routes = {{host_endpoint(250, 80), {{service, 1}}, 300ms, 2},
+                         {host_endpoint(250, 81), {{service, 1}}, 300ms, 0}};
+        routes_.apply(routes);
+        for (std::uint16_t port = 1000; port < 1100; ++port)
+            for (const std::uint16_t destination :
+                 std::vector<std::uint16_t>{80, 81})
+            {
+                flow_packet p = opening();
+                p.key.source_port = port;
+                p.key.destination_port = destination;
+                clock_.advance(agent_directory::options().overload_ttl);
+                send_heartbeats(1, port);
+                dispatcher_.on_caller_packet(p);
+                dispatcher_.on_returned_packet(p, agent(0),
+                                               {return_reason::busy, 5});
+            }
+        const auto rejected = [this](priority_class c)
+        { return dispatcher_.rejected().value(c); };
+        CPPUNIT_ASSERT(rejected(priority_class::p2) > 70);
+        CPPUNIT_ASSERT(rejected(priority_class::p2) < 100);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, rejected(priority_class::p2) +
+                                                     dispatcher_.forced().value(
+                                                         priority_class::p2));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, rejected(priority_class::p0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{100},
+                             dispatcher_.forced().value(priority_class::p0));
+    }
+
     /// A server may have taken an earlier copy through another balancer.
     void later_copy_of_an_opening_is_not_rejected()
     {
--- a/test/platform/records_test.cpp
+++ b/test/platform/records_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(deeply_nested_bodies_are_rejected);
     CPPUNIT_TEST(numbers_out_of_range_are_rejected);
     CPPUNIT_TEST(routes_are_read);
+    CPPUNIT_TEST(unreadable_priority_is_the_lowest);
     CPPUNIT_TEST(only_malformed_routes_are_omitted);
     CPPUNIT_TEST(malformed_configurations_are_rejected);
     CPPUNIT_TEST_SUITE_END();
@@ -163,6 +164,26 @@
         CPPUNIT_ASSERT_EQUAL(std::string("c"), set.routes[1].shares[0].service);
     }
 
+    /// A priority of another type must not make its route unreadable, nor raise
+    /// it above others.
+    void unreadable_priority_is_the_lowest()
+    {
+        json absent = route_example();
+        absent.erase("Priority");
+        json routes = json::array({route_example(), absent});
+        for (const json& value : {json("0"), json(-1), json(0.5), json(255)})
+        {
+            routes.push_back(route_example());
+            routes.back()["Priority"] = value;
+        }
+        std::size_t unreadable = 0;
+        const route_set set = routes_of(routes, unreadable);
+        CPPUNIT_ASSERT_EQUAL(routes.size(), set.routes.size());
+        CPPUNIT_ASSERT_EQUAL(2U, unsigned{set.routes[0].priority});
+        for (std::size_t i = 1; i < set.routes.size(); ++i)
+            CPPUNIT_ASSERT(set.routes[i].priority == lowest_priority);
+    }
+
     void only_malformed_routes_are_omitted()
     {
         const std::pair<const char*, json> malformed[] = {
--- a/test/support/load_model.cpp
+++ b/test/support/load_model.cpp
@@ -37,11 +37,14 @@
     : options_(options), random_(options.seed)
 {
     clock_.advance(1h);
+    if (options_.kinds.empty())
+        options_.kinds = {{options_.flows_per_s, options_.service_s,
+                           options_.aim_s, 1e9, 0, options_.requests_per_flow}};
+    outcomes_.resize(options_.kinds.size());
     route_set routes;
     routes.version = 1;
-    routes.routes = {{host_endpoint(250, service_port),
-                      {{service, 1}},
-                      bench::event_queue::to_duration(options_.aim_s)}};
+    for (std::size_t i = 0; i < options_.kinds.size(); ++i)
+        routes.routes.push_back(route_of(i));
     routes_.apply(routes);
     for (std::size_t i = 0; i < options_.balancers; ++i)
         add_balancer();
@@ -49,7 +52,20 @@
         add_server();
     events_.run_until(clock_.now() +
                       bench::event_queue::to_duration(startup_s));
-    schedule_arrival();
+    for (std::size_t i = 0; i < options_.kinds.size(); ++i)
+        schedule_arrival(i);
+}
+
+dispatch_route load_model::route_of(std::size_t kind) const
+{
+    const request_kind& k = options_.kinds[kind];
+    dispatch_route route;
+    route.address =
+        host_endpoint(250, static_cast<std::uint16_t>(service_port + kind));
+    route.shares = {{service, 1}};
+    route.aim = bench::event_queue::to_duration(k.aim_s);
+    route.priority = k.priority;
+    return route;
 }
 
 void load_model::add_balancer()
@@ -58,9 +74,8 @@
     b.relay =
         host_endpoint(static_cast<std::uint8_t>(1 + balancers_.size()), 9000);
     b.agents = std::make_unique<agent_directory>(clock_);
-    b.dispatcher =
-        std::make_unique<flow_dispatcher>(clock_, flow_dispatcher::options{},
-                                          routes_, *b.agents, place_by_load());
+    b.dispatcher = std::make_unique<flow_dispatcher>(
+        clock_, options_.dispatch, routes_, *b.agents, options_.place);
     balancers_.push_back(std::move(b));
 }
 
@@ -71,8 +86,10 @@
     s.relay = host_endpoint(static_cast<std::uint8_t>(100 + i), 9000);
     s.registration = std::make_unique<server_registration>(clock_, service, 1h);
     s.gate = std::make_unique<server_gate>(clock_, *s.registration);
-    s.work = std::make_unique<bench::server_model>(events_, options_.slots,
-                                                   options_.service_s);
+    if (!options_.speeds.empty())
+        s.speed = options_.speeds[i % options_.speeds.size()];
+    s.work = std::make_unique<bench::server_model>(
+        events_, options_.slots, options_.service_s / s.speed);
     server_heartbeat heartbeat;
     heartbeat.id = "i" + std::to_string(i);
     heartbeat.born_ms = 1;
@@ -92,12 +109,16 @@
     status.relay_address = s.relay;
     status.incarnation = 1;
     status.sequence = ++s.sequence;
+    if (s.warm_at > clock_.now())
+        status.warmup_ms =
+            static_cast<std::uint32_t>((s.warm_at - clock_.now()) / 1ms);
     events_.after(options_.link_s,
                   [this, status]
                   {
                       for (balancer& b : balancers_)
                       {
                           b.agents->on_heartbeat(status);
+                          b.dispatcher->on_route_times(status.route_times);
                           b.dispatcher->expire();
                       }
                   });
@@ -109,22 +130,49 @@
     events_.run_until(clock_.now() + bench::event_queue::to_duration(seconds));
 }
 
-void load_model::schedule_arrival()
+void load_model::schedule_arrival(std::size_t kind)
 {
-    events_.after(bench::exponential(random_, 1 / options_.flows_per_s),
-                  [this]
+    const double rate = options_.kinds[kind].flows_per_s;
+    events_.after(bench::exponential(random_, 1 / rate),
+                  [this, kind]
                   {
-                      const auto c = std::make_shared<caller>();
-                      c->requests_left = options_.requests_per_flow;
-                      ask(c);
-                      schedule_arrival();
+                      add_callers(1, kind);
+                      schedule_arrival(kind);
                   });
 }
 
+void load_model::add_callers(std::size_t count, std::size_t kind)
+{
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const auto c = std::make_shared<caller>();
+        c->kind = kind;
+        c->requests_left = options_.kinds[kind].requests_per_flow;
+        ask(c);
+    }
+}
+
+void load_model::set_work_factor(std::size_t i, double factor)
+{
+    servers_[i].work->set_service_time(options_.service_s * factor /
+                                       servers_[i].speed);
+}
+
+void load_model::restart_servers(double seconds)
+{
+    for (std::size_t i = 0; i < servers_.size(); ++i)
+    {
+        servers_[i].warm_at =
+            clock_.now() + bench::event_queue::to_duration(seconds);
+        set_work_factor(i, 1.6);
+        events_.after(seconds, [this, i] { set_work_factor(i, 1); });
+    }
+}
+
 /// A new request: its time counts from here, whatever is tried.
 void load_model::ask(const caller_ref& c)
 {
-    ++outcome_.asked;
+    ++outcomes_[c->kind].asked;
     --c->requests_left;
     c->retries_left = options_.retries;
     c->asked = clock_.now();
@@ -140,7 +188,8 @@
     c->key.source = host_endpoint(200, 0).address;
     c->key.source_port = static_cast<std::uint16_t>(last_port_);
     c->key.destination = host_endpoint(250, 0).address;
-    c->key.destination_port = service_port;
+    c->key.destination_port =
+        static_cast<std::uint16_t>(service_port + c->kind);
     c->via = random_.below(balancers_.size());
     to_balancer(c, packet_kind::opening, 0);
 }
@@ -154,7 +203,11 @@
 {
     const double took =
         std::chrono::duration<double>(clock_.now() - c->asked).count();
-    ++(took <= options_.aim_s ? outcome_.in_aim : outcome_.late);
+    const request_kind& kind = options_.kinds[c->kind];
+    load_outcome& outcome = outcomes_[c->kind];
+    ++(took <= kind.aim_s       ? outcome.in_aim
+       : took <= kind.timeout_s ? outcome.late
+                                : outcome.expired);
     if (c->requests_left > 0)
         events_.after(bench::exponential(random_, options_.pause_s),
                       [this, c] { ask(c); });
@@ -166,7 +219,7 @@
     c->open = false;
     if (c->retries_left == 0)
     {
-        ++outcome_.rejected;
+        ++outcomes_[c->kind].rejected;
         return;
     }
     --c->retries_left;
@@ -176,7 +229,7 @@
 void load_model::fail(const caller_ref& c)
 {
     c->open = false;
-    ++outcome_.failed;
+    ++outcomes_[c->kind].failed;
 }
 
 void load_model::to_balancer(const caller_ref& c,
@@ -251,8 +304,16 @@
         (void)s.gate->on_server_packet(reply, 0);
         return events_.after(options_.link_s, [this, c] { retry(c); });
     }
-    const double size = 0.5 + random_.unit();
-    s.work->submit(size, [this, c, reply, i] { answer(c, reply, i); });
+    double size = (0.5 + random_.unit()) * options_.kinds[c->kind].service_s /
+                  options_.service_s;
+    if (options_.long_share > 0 && random_.unit() < options_.long_share)
+        size *= 10;
+    s.work->submit(size,
+                   [this, c, reply, i]
+                   {
+                       ++servers_[i].answered;
+                       answer(c, reply, i);
+                   });
 }
 
 void load_model::answer(const caller_ref& c, flow_packet p, std::size_t i)
