--- a/test/dispatch/service_time_test.cpp
+++ b/test/dispatch/service_time_test.cpp
@@ -14,10 +14,11 @@
 using namespace briarfield::test;
 using namespace std::chrono_literals;
 
-/// Today's choice: the load alone, whatever the servers' speed.
+/// The choice by load alone, whatever the servers' speed.
 std::size_t choose_by_load(const std::vector<placement_candidate>& all)
 {
     std::vector<agent_directory::record> records;
+    records.reserve(all.size());
     for (const placement_candidate& c : all)
         records.push_back(*c.record);
     std::vector<placement_candidate> unmeasured = all;
@@ -36,8 +37,10 @@
     CPPUNIT_TEST(busy_server_is_measured);
     CPPUNIT_TEST(running_request_shows_a_slow_server);
     CPPUNIT_TEST(one_long_request_is_capped);
+    CPPUNIT_TEST(idle_server_is_measured_anew);
+    CPPUNIT_TEST(servers_with_little_load_are_not_compared);
     CPPUNIT_TEST(about_equal_servers_are_chosen_by_load);
-    CPPUNIT_TEST(unmeasured_and_warming_servers_count_as_the_mean);
+    CPPUNIT_TEST(servers_without_a_valid_time_count_as_the_mean);
     CPPUNIT_TEST(server_that_turns_slow_loses_work_and_gets_it_back);
     CPPUNIT_TEST(fast_servers_get_more_work_under_a_wave);
     CPPUNIT_TEST_SUITE_END();
@@ -86,6 +89,25 @@
         CPPUNIT_ASSERT(gauge_.mean() < 11ms);
     }
 
+    /// A server that became fast while it got no work must not count as slow
+    /// for long.
+    void idle_server_is_measured_anew()
+    {
+        serve(10ms, 64);
+        clock_.advance(service_time_gauge::idle_limit);
+        serve(30ms, 8);
+        CPPUNIT_ASSERT(gauge_.mean() > 20ms);
+    }
+
+    /// Times are measured too rarely to give up the zone and the rank for them.
+    void servers_with_little_load_are_not_compared()
+    {
+        service_time_comparison times;
+        times.add(record_of(0.1F, 10ms));
+        times.add(record_of(0.1F, 30ms));
+        CPPUNIT_ASSERT(!times.unequal());
+    }
+
     static agent_directory::record record_of(float requests, duration time)
     {
         agent_directory::record r;
@@ -114,6 +136,7 @@
                 records[i].status.warmup_ms = random.below(4) == 0 ? 500 : 0;
             }
             std::vector<placement_candidate> all;
+            all.reserve(records.size());
             for (const agent_directory::record& r : records)
                 all.push_back({static_cast<agent_index>(all.size()),
                                random.next(), random.below(2) == 0,
@@ -125,12 +148,13 @@
         CPPUNIT_ASSERT(changed_if_unequal > 100);
     }
 
-    /// A restarted server must not be avoided, or flooded, for lack of figures.
-    void unmeasured_and_warming_servers_count_as_the_mean()
+    /// A restarted server, or one that was slow before it became idle, must be
+    /// neither avoided nor flooded.
+    void servers_without_a_valid_time_count_as_the_mean()
     {
         std::vector<agent_directory::record> records = {
             record_of(1, 10ms), record_of(1, 30ms), record_of(1, 0ms),
-            record_of(1, 60ms)};
+            record_of(1, 60ms), record_of(0.01F, 60ms)};
         records[3].status.warmup_ms = 100;
         service_time_comparison times;
         for (const agent_directory::record& r : records)
@@ -139,6 +163,7 @@
         CPPUNIT_ASSERT_EQUAL(0.5, times.relative(records[0]));
         CPPUNIT_ASSERT_EQUAL(1.0, times.relative(records[2]));
         CPPUNIT_ASSERT_EQUAL(1.0, times.relative(records[3]));
+        CPPUNIT_ASSERT_EQUAL(1.0, times.relative(records[4]));
     }
 
     /// Requests that server 3 answers in two seconds, against the mean of all.
