--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -3,10 +3,13 @@
 
 #include "briarfield/core/counter_set.hpp"
 #include "briarfield/core/pause_detector.hpp"
+#include "briarfield/dispatch/admission_costs.hpp"
+#include "briarfield/dispatch/admission_policy.hpp"
 #include "briarfield/dispatch/agent_directory.hpp"
 #include "briarfield/dispatch/flow_locator.hpp"
 #include "briarfield/dispatch/flow_query_queue.hpp"
 #include "briarfield/dispatch/placement.hpp"
+#include "briarfield/dispatch/priority_class.hpp"
 #include "briarfield/dispatch/route_table.hpp"
 #include "briarfield/dispatch/rtt_estimator.hpp"
 #include "briarfield/dispatch/search_progress.hpp"
@@ -108,6 +111,8 @@
     std::size_t queried = 0;
     /// After an unsuccessful search.
     search_uncertainty uncertainty = search_uncertainty::none;
+    /// For dispatch_event::refused_overloaded.
+    admission_request rejected;
     /// If positive, a copy of the packet is to be passed to
     /// \ref flow_dispatcher::on_kept_packet after this delay, so that the
     /// search need not wait for the caller's retransmission. A flow has one
@@ -186,10 +191,8 @@
         /// on the least loaded one: asking more takes longer than waiting
         /// there.
         std::size_t max_overloaded_asked = 6;
-        /// Part of the aim of a route that the expected time to an answer may
-        /// take on the least loaded server; otherwise an opening is rejected.
-        /// The rest covers requests that take longer than the mean.
-        double max_aim_fraction = 2.0 / 3;
+        /// Decides on openings that only overloaded servers can take.
+        admission_policy admit = admit_by_priority(admission_limits());
         /// If all servers warm up and have no room, this many copies of an
         /// opening are dropped rather than reset: a server has room within a
         /// second, and a caller spends its retries within milliseconds.
@@ -216,6 +219,12 @@
     /// dispatch_verdict::retry_after. Drops the packet if the search has ended.
     dispatch_verdict on_kept_packet(const flow_packet& packet);
 
+    /// \brief Records the times of requests by route that an agent reports.
+    void on_route_times(const std::vector<route_time>& report)
+    {
+        work_.record(report);
+    }
+
     /// \brief Records that the server of the agent at \a from has the flow.
     void on_flow_held(const flow_key& key, const endpoint& from);
 
@@ -241,6 +250,12 @@
         return query_counters_;
     }
 
+    /// \brief Openings rejected because all servers asked were overloaded.
+    const counter_set<priority_class>& rejected() const { return rejected_; }
+
+    /// \brief Openings forced on an overloaded server.
+    const counter_set<priority_class>& forced() const { return forced_; }
+
     std::size_t flows() const { return flows_.size(); }
 
     std::size_t searches() const { return searches_.size(); }
@@ -291,7 +306,14 @@
                            flow_location& location,
                            service_tag& service);
     bool may_reject_overload(const flow_packet& packet) const;
-    bool misses_aim(const route_table::entry& route, agent_index agent) const;
+    admission_request make_admission_request(const flow_packet& packet,
+                                             const route_table::entry& route,
+                                             const flow_location& location,
+                                             agent_index agent);
+    dispatch_verdict reject_overload(const flow_packet& packet,
+                                     const route_table::entry& route,
+                                     const flow_location& location,
+                                     const admission_request& request);
     dispatch_verdict reject_opening(const flow_packet& packet,
                                     const flow_location& location,
                                     dispatch_event event);
@@ -378,12 +400,16 @@
     const route_table* routes_;
     agent_directory* agents_;
     placement_policy policy_;
+    route_work work_;
+    admission_costs costs_;
     flow_locator flows_;
     search_map searches_;
     flow_query_queue queries_;
     std::vector<rtt_estimator> rtt_; ///< By agent.
     counter_set<query_event> query_counters_;
     counter_set<dispatch_event> counters_;
+    counter_set<priority_class> rejected_;
+    counter_set<priority_class> forced_;
     /// After a pause every agent seems to have timed out, although its
     /// heartbeats wait to be read; so the balancer knows as little as after a
     /// start.
--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -8,6 +8,7 @@
 #include "briarfield/dispatch/load_gauge.hpp"
 #include "briarfield/dispatch/opening_policy.hpp"
 #include "briarfield/dispatch/outlier_ejection.hpp"
+#include "briarfield/dispatch/route_time_gauge.hpp"
 #include "briarfield/dispatch/server_registration.hpp"
 #include "briarfield/dispatch/service_time_gauge.hpp"
 #include "briarfield/flow/flow_table.hpp"
@@ -129,7 +130,8 @@
                 server_registration& server,
                 duration max_flow_age = default_max_flow_age)
         : clock_(&c), server_(&server), max_flow_age_(max_flow_age), load_(c),
-          ejection_(c), completeness_(c, max_flow_age)
+          service_time_(c), route_times_(c), ejection_(c),
+          completeness_(c, max_flow_age)
     {
     }
 
@@ -210,8 +212,8 @@
         /// The balancer has been notified of the flow.
         bool balancer_notified = false;
         bool in_progress = false;
-        bool found_free_slot = false; ///< The last request did not wait.
-        bool closed = false;          ///< One end has closed or reset it.
+        service_time_gauge::request_id request = 0; ///< The last one.
+        bool closed = false; ///< One end has closed or reset it.
         bool closed_by_caller = false;
         bool closed_by_server = false;
         bool ended = false; ///< Closed by both ends, or reset by the server.
@@ -229,7 +231,8 @@
     void record_packet(const flow_packet& packet,
                        forward_info info,
                        std::uint16_t balancer);
-    void end_request(tracked_flow& record);
+    duration end_request(tracked_flow& record, bool answered = false);
+    void record_work(const flow_key& key, duration took);
     void record_answer_time(const tracked_flow& record);
     void record_outcome(const tracked_flow& record, const flow_packet& packet);
     void close(tracked_flow& record);
@@ -264,6 +267,7 @@
     time_point last_flow_lost_{}; ///< When \ref on_flow_lost was last called.
     load_gauge load_;
     service_time_gauge service_time_;
+    route_time_gauge route_times_;
     outlier_ejection ejection_;
     flow_completeness completeness_;
     counter_set<gate_event> counters_;
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -1,5 +1,7 @@
 #include "briarfield/dispatch/server_gate.hpp"
 
+#include "flow_parts.hpp"
+
 #include <algorithm>
 #include <iterator>
 
@@ -185,6 +187,7 @@
     reported.flows_complete = flows_complete();
     reported.requests_in_progress = static_cast<float>(load_.mean());
     reported.service_time = service_time_.mean();
+    reported.route_times = route_times_.report();
     reported.warmup_ms = static_cast<std::uint32_t>(
         std::chrono::ceil<std::chrono::milliseconds>(server_->warmup_left())
             .count());
@@ -257,7 +260,7 @@
     if (packet.payload_size > 0 && record.in_progress)
         record_answer_time(record);
     if (packet.payload_size > 0)
-        end_request(record);
+        record_work(packet.key, end_request(record, true));
     if (!record.balancer_notified)
     {
         record.balancer_notified = true;
@@ -275,10 +278,13 @@
 
 void server_gate::record_answer_time(const tracked_flow& record)
 {
-    const duration took = record.last_packet - record.request_start;
-    request_times_.record(took);
-    if (record.found_free_slot)
-        service_time_.record(took);
+    request_times_.record(record.last_packet - record.request_start);
+}
+
+void server_gate::record_work(const flow_key& key, duration took)
+{
+    if (took > duration(0))
+        route_times_.record(destination_of(key), took);
 }
 
 /// Judges the server by how it ends a request: with the first byte of an answer
@@ -453,8 +459,7 @@
         record.in_progress = true;
         record.request_start = now;
         load_.begin_request();
-        record.found_free_slot =
-            load_.in_progress() <= static_cast<int>(server_->latest().slots);
+        record.request = service_time_.begin(server_->latest().slots);
     }
     if (packet.kind == packet_kind::reset ||
         packet.kind == packet_kind::closing)
@@ -489,12 +494,13 @@
     record.closed = true;
 }
 
-void server_gate::end_request(tracked_flow& record)
+duration server_gate::end_request(tracked_flow& record, bool answered)
 {
     if (!record.in_progress)
-        return;
+        return {};
     record.in_progress = false;
     load_.end_request();
+    return service_time_.end(record.request, answered);
 }
 
 void server_gate::remove_flow(const flow_key& key)
