A search is conclusive only if the list of agents is confirmed

Change: flow_dispatcher::agents_confirmed, a hook that uncertainty_of asks after its other conditions. While it returns false, the search ends as unconfirmed_agents and the flow is not reset.

With the condition left out, unconfirmed_list_of_agents_prevents_resets fails.

--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -55,6 +55,8 @@
     /// A peer reported an agent whose heartbeats are not received here.
     unheard_agent,
     no_agents, ///< No agent could be queried.
+    /// Agents may exist that this balancer does not track.
+    unconfirmed_agents,
     count_
 };
 
@@ -185,6 +187,11 @@
 
     std::size_t flows() const { return flows_.size(); }
 
+    /// \brief Returns whether every agent that may exist has been heard, or
+    /// is known to be gone; if set, no flow is reset as lost while it returns
+    /// false.
+    std::function<bool()> agents_confirmed;
+
     /// \brief Called for each decision worth a log line: all but packets sent
     /// to a known server.
     std::function<void(const flow_packet&, const dispatch_verdict&)>
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -29,8 +29,9 @@
 static_assert(std::size(event_names) ==
               static_cast<std::size_t>(dispatch_event::count_));
 
-constexpr std::string_view uncertainty_names[] = {"none", "young", "unanswered",
-                                                  "unheard_agent", "no_agents"};
+constexpr std::string_view uncertainty_names[] = {
+    "none",          "young",     "unanswered",
+    "unheard_agent", "no_agents", "unconfirmed_agents"};
 static_assert(std::size(uncertainty_names) ==
               static_cast<std::size_t>(search_uncertainty::count_));
 
--- a/src/dispatch/flow_search.cpp
+++ b/src/dispatch/flow_search.cpp
@@ -224,6 +224,8 @@
         return search_uncertainty::unanswered;
     if (agents_->awaits_peer_reported())
         return search_uncertainty::unheard_agent;
+    if (agents_confirmed && !agents_confirmed())
+        return search_uncertainty::unconfirmed_agents;
     const bool queried_twice =
         location.failed_searches > 1 && running_for(options_.reset_grace) &&
         clock_->now() - location.first_failure >= options_.reset_delay;
--- a/test/dispatch/flow_dispatcher_test.cpp
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(restarted_agent_keeps_its_flows);
     CPPUNIT_TEST(lost_flow_is_reset_immediately);
     CPPUNIT_TEST(recently_started_balancer_searches_twice);
+    CPPUNIT_TEST(unconfirmed_list_of_agents_prevents_resets);
     CPPUNIT_TEST(search_goes_on_past_agents_that_do_not_respond);
     CPPUNIT_TEST(lost_query_is_repeated);
     CPPUNIT_TEST(flow_of_a_restarting_agent_is_found_when_it_is_back);
@@ -218,6 +219,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), network_.caller(1).resets_allowed);
     }
 
+    /// Balancers that replaced all others reset flows of agents that found them
+    /// only after 2 s.
+    void unconfirmed_list_of_agents_prevents_resets()
+    {
+        start(3, 1);
+        network_.open(0, 1);
+        network_.replace_server(network_.holder(1), datum);
+        network_.restart_balancer(0);
+        bool confirmed = false;
+        network_.balancer(0).agents_confirmed = [&confirmed]
+        { return confirmed; };
+        network_.advance(5s);
+        network_.send(0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), network_.caller(1).resets_allowed);
+        CPPUNIT_ASSERT(network_.uncertainty() ==
+                       search_uncertainty::unconfirmed_agents);
+        confirmed = true;
+        network_.advance_without_heartbeats(400ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), network_.caller(1).resets_allowed);
+    }
+
     /// Each agent on the way that was down cost a retransmission of the caller;
     /// these follow each other after up to 1.6 s.
     void search_goes_on_past_agents_that_do_not_respond()
