Records of agents; balancers confirm their list of agents

A late DELETE removed the record of a restarted balancer, since its PUT changed nothing.

Change: - Agents keep a record (kind relay-agents), as balancers do; both have the incarnation. record_writer checks the own record once a minute and writes it again if it is missing or of another incarnation. - membership_tracker reads both kinds at the start, after 3 s and then every 12 to 15 s, whole, and sends hellos. membership_view decides, free of I/O, whether the list of agents is confirmed, who gets a hello and which records are removed. - balancer_search tries all addresses, 16 every 0.1 s. Balancers no longer use it: they read the records anyway. - stored_object: a removal refused with 409 shows that the object exists; the revision is kept, so that another removal is refused as well.

The test many_records_are_tried_in_samples required the fault (16 addresses a read, all within 20 min). all_records_are_tried_within_seconds replaces it: all of 601 within 8 s. The fake store of store_client_test holds several objects now; its earlier cases are unchanged.

--- a/include/briarfield/relay/relay_agent.hpp
+++ b/include/briarfield/relay/relay_agent.hpp
@@ -89,10 +89,21 @@
     /// \brief Whether no balancer is known to run.
     bool awaits_balancers() const;
 
-    /// \brief Sends heartbeats to balancers that others have reported or that
-    /// have a record in the store; the addresses may be outdated.
+    /// \brief Sends heartbeats to balancers that others have reported; the
+    /// addresses may be outdated.
     void try_balancers(const std::vector<endpoint>& addresses);
 
+    /// \brief The same for balancers that have a record in the store. Beyond
+    /// the first ones, each is sent one heartbeat: hundreds of records may be
+    /// outdated, and heartbeats are frequent while no balancer responds.
+    void try_recorded_balancers(const std::vector<endpoint>& addresses);
+
+    /// \brief Address on which the agent receives frames.
+    const endpoint& relay_address() const { return options_.relay; }
+
+    /// \brief Differs with each start of the agent.
+    std::uint64_t incarnation() const { return incarnation_; }
+
 private:
     relay_agent(event_loop& loop,
                 const relay_agent_options& options,
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -6,6 +6,7 @@
 #include "briarfield/dispatch/relay_frame.hpp"
 #include "briarfield/net/event_loop.hpp"
 #include "briarfield/net/udp_socket.hpp"
+#include "briarfield/relay/membership_tracker.hpp"
 #include "briarfield/relay/notice_plan.hpp"
 #include "briarfield/relay/relay_peers.hpp"
 
@@ -78,16 +79,27 @@
     /// \brief Adds balancers that are sent notices from now on.
     void add_seeds(const std::vector<endpoint>& seeds);
 
-    /// \brief Whether no other balancer is alive.
-    bool alone() { return peers_.alive().empty(); }
+    /// \brief Tracks processes by their records in the store. From now on a
+    /// flow is reset as lost only while the list of agents is confirmed; see
+    /// \ref membership_view.
+    void follow_records(random_source& random, membership_tracker::calls store);
 
-    /// \brief Sends a notice to balancers that others have reported or that
-    /// have a record in the store; the addresses may be outdated.
+    /// \brief Counters of \ref follow_records; null before it was called.
+    const counter_set<membership_event>* membership_counters() const
+    {
+        return membership_ ? &membership_->counters() : nullptr;
+    }
+
+    /// \brief Sends a notice to balancers that others have reported; the
+    /// addresses may be outdated.
     void try_balancers(const std::vector<endpoint>& addresses);
 
     /// \brief Address that receives frames of agents and balancers.
     const endpoint& relay_address() const { return options_.relay; }
 
+    /// \brief Differs with each start of the balancer.
+    std::uint64_t incarnation() const { return incarnation_; }
+
 private:
     relay_balancer(event_loop& loop,
                    const relay_balancer_options& options,
@@ -122,6 +134,8 @@
 
     balancer_notice make_notice(notice_content content);
     void send_notice(const endpoint& to, const balancer_notice& notice);
+    void send_hellos(const std::vector<membership_view::recipient>& to);
+    void record_reports(const balancer_notice& notice);
     void send_notices();
     void send_notices_to_balancers(const notice_plan& plan);
     void send_notices_to_agents(const notice_plan& plan);
@@ -134,6 +148,7 @@
     agent_directory agents_;
     flow_dispatcher dispatcher_;
     relay_peers peers_;
+    std::unique_ptr<membership_tracker> membership_;
     std::unique_ptr<udp_socket> callers_;
     std::unique_ptr<udp_socket> relay_;
     std::unordered_map<endpoint, time_point, endpoint_hash> last_hello_;
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -20,6 +20,10 @@
 constexpr std::size_t probe_batch_size = 64;
 constexpr duration probe_batch_interval = 20ms;
 
+/// Recorded balancers are sent periodic heartbeats until there are this many
+/// recipients.
+constexpr std::size_t max_tried_balancers = 16;
+
 } // namespace
 
 result<std::unique_ptr<relay_agent>>
@@ -65,6 +69,14 @@
         send_heartbeats();
 }
 
+void relay_agent::try_recorded_balancers(const std::vector<endpoint>& addresses)
+{
+    if (balancers_.recipients().size() < max_tried_balancers)
+        return try_balancers(addresses);
+    queue_frame(*relay_, addresses, message_frame(make_status()));
+    relay_->flush();
+}
+
 relay_agent::~relay_agent()
 {
     loop_->timers().cancel(heartbeat_timer_);
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -313,7 +313,11 @@
 void relay_balancer::on_message(const agent_status& status)
 {
     const agent_index known_agent = agents_.find(status.relay_address);
-    if (!agents_.on_heartbeat(status) || known_agent != no_agent)
+    const bool accepted = agents_.on_heartbeat(status);
+    if (accepted && membership_)
+        membership_->view().on_heard(member_kind::agent, status.relay_address,
+                                     status.incarnation);
+    if (!accepted || known_agent != no_agent)
         return;
     // An agent discovers all balancers from the first one that replies.
     send_notice(status.relay_address, make_notice(notice_content::balancers));
@@ -351,6 +355,7 @@
         notice.agent_count == 0 && agents_.count_alive() > 0;
     if (is_new || lacks_agents)
         send_notice(notice.relay, make_notice(notice_content::all));
+    record_reports(notice);
     try_balancers(notice.balancers);
     const time_point now = loop_->timers().now();
     for (const endpoint& agent : notice.agents)
@@ -369,6 +374,68 @@
         on_newer_routes(notice.config_version);
 }
 
+void relay_balancer::record_reports(const balancer_notice& notice)
+{
+    if (!membership_)
+        return;
+    membership_view& view = membership_->view();
+    view.on_heard(member_kind::balancer, notice.relay, notice.incarnation);
+    for (const endpoint& balancer : notice.balancers)
+        view.on_reported(member_kind::balancer, balancer);
+    for (const endpoint& agent : notice.agents)
+        view.on_reported(member_kind::agent, agent);
+}
+
+void relay_balancer::follow_records(random_source& random,
+                                    membership_tracker::calls store)
+{
+    membership_ = std::make_unique<membership_tracker>(
+        loop_->timers(), random, std::move(store), options_.relay);
+    membership_tracker& membership = *membership_;
+    membership.send_hellos =
+        [this](const std::vector<membership_view::recipient>& to)
+    { send_hellos(to); };
+    membership.balancers = [this] { return peers_.alive(); };
+    membership.on_change = [this](bool confirmed)
+    {
+        spdlog::info("event={} agents={}",
+                     confirmed ? "membership_confirmed"
+                               : "membership_unconfirmed",
+                     agents_.size());
+    };
+    membership.on_lost = [](member_kind kind, const error& e)
+    {
+        spdlog::warn("event=records_unread kind={} error=\"{}\"",
+                     member_kind_name(kind), e.message());
+    };
+    membership.on_removed =
+        [](member_kind kind, const membership_record& record)
+    {
+        spdlog::info("event=record_removed kind={} name={} address={}",
+                     member_kind_name(kind), record.name,
+                     record.relay.to_string());
+    };
+    dispatcher_.agents_confirmed = [this]
+    { return membership_->view().confirmed(); };
+    membership.start();
+}
+
+/// The addresses may be outdated, so they become peers only when they respond.
+void relay_balancer::send_hellos(
+    const std::vector<membership_view::recipient>& to)
+{
+    const std::string to_balancers =
+        message_frame(make_notice(notice_content::all));
+    const std::string to_agents =
+        message_frame(make_notice(notice_content::balancers));
+    for (const membership_view::recipient& recipient : to)
+        relay_->queue_copy(recipient.relay,
+                           bytes_of(recipient.kind == member_kind::balancer
+                                        ? to_balancers
+                                        : to_agents));
+    relay_->flush();
+}
+
 balancer_notice relay_balancer::make_notice(notice_content content)
 {
     balancer_notice notice;
--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -1,8 +1,10 @@
 #include "store_client.hpp"
+#include "stored_object.hpp"
 
 #include "briarfield/net/http_server.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -15,7 +17,14 @@
 /// Iterations of the loop after which a wait for a response fails.
 constexpr std::size_t iteration_limit = 20000;
 
-/// Checkpoints in a store that holds one object and can fail on request.
+/// Objects in a page of a list.
+constexpr std::size_t page_size = 50;
+
+/// Position of the kind in a path.
+const std::size_t kind_at = objects_path.size();
+
+/// Objects in a store with pages, revisions and conditional removals, which can
+/// fail on request.
 class store_client_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(store_client_test);
@@ -23,6 +32,10 @@
     CPPUNIT_TEST(restarted_agent_loads_the_checkpoint);
     CPPUNIT_TEST(object_created_by_an_unanswered_request_is_replaced);
     CPPUNIT_TEST(error_statuses_are_reported);
+    CPPUNIT_TEST(list_of_records_is_read_whole);
+    CPPUNIT_TEST(endless_list_of_records_is_refused);
+    CPPUNIT_TEST(late_removal_leaves_the_record_of_a_restarted_process);
+    CPPUNIT_TEST(refused_removal_shows_that_the_object_exists);
     CPPUNIT_TEST_SUITE_END();
 
     steady_clock clock_;
@@ -31,8 +44,11 @@
     std::unique_ptr<store_client> client_;
     flow_checkpoint::calls calls_;
     std::vector<std::string> methods_; ///< HTTP methods of the requests.
-    std::optional<nlohmann::json> object_;
-    int failure_status_ = 0; ///< HTTP status of all responses, unless 0.
+    std::vector<std::string> queries_; ///< Of the requests.
+    std::map<std::string, nlohmann::json> objects_; ///< By name.
+    std::uint64_t revision_ = 1;
+    bool ignores_after_ = false; ///< Each page of a list is the first one.
+    int failure_status_ = 0;     ///< HTTP status of all responses, unless 0.
 
 public:
     void setUp() override
@@ -67,19 +83,56 @@
                  const http_responder& responder)
     {
         methods_.push_back(request.method);
+        queries_.push_back(request.query);
         if (failure_status_ != 0)
             return responder.reply(failure_status_, "{}");
+        const std::size_t name_at = request.path.find('/', kind_at);
+        if (request.method == "GET" && name_at == std::string::npos)
+            return responder.reply(200, list(request.query).dump());
+        const auto sent = nlohmann::json::parse(request.body, nullptr, false);
         const bool creates = request.method == "POST";
-        if (creates && object_)
-            return responder.reply(409, object_->dump());
-        if (!creates && !object_)
+        const std::string name = creates
+                                     ? sent["meta"]["Name"].get<std::string>()
+                                     : request.path.substr(name_at + 1);
+        const bool exists = objects_.count(name) != 0;
+        if (!creates && !exists)
             return responder.reply(404, "{}");
-        if (creates || request.method == "PUT")
-            object_ = nlohmann::json::parse(request.body);
-        const std::string body = object_->dump();
+        const std::string before = exists ? objects_[name].dump() : "";
+        const std::string condition = "Revision=";
+        if ((creates && exists) ||
+            (request.query.rfind(condition, 0) == 0 &&
+             request.query.substr(condition.size()) !=
+                 objects_[name]["meta"]["Revision"].dump()))
+            return responder.reply(409, before);
         if (request.method == "DELETE")
-            object_.reset();
-        responder.reply(200, body);
+        {
+            objects_.erase(name);
+            return responder.reply(200, before);
+        }
+        if (request.method != "GET")
+            put(name, sent["spec"]);
+        responder.reply(200, objects_[name].dump());
+    }
+
+    /// A write that changes nothing leaves the revision as it is.
+    void put(const std::string& name, const nlohmann::json& spec)
+    {
+        if (objects_.count(name) == 0 || objects_[name]["spec"] != spec)
+            objects_[name] = {
+                {"meta", {{"Name", name}, {"Revision", ++revision_}}},
+                {"spec", spec}};
+    }
+
+    nlohmann::json list(const std::string& query) const
+    {
+        const std::size_t after = query.find("after=");
+        auto i = after == std::string::npos || ignores_after_
+                     ? objects_.begin()
+                     : objects_.upper_bound(query.substr(after + 6));
+        auto items = nlohmann::json::array();
+        for (; i != objects_.end() && items.size() < page_size; ++i)
+            items.push_back(i->second);
+        return {{"items", items}, {"More", i != objects_.end()}};
     }
 
     template <class Done>
@@ -126,10 +179,11 @@
         CPPUNIT_ASSERT(load() == std::size_t{0});
         CPPUNIT_ASSERT(save(1) == errc::ok);
         CPPUNIT_ASSERT(save(2) == errc::ok);
-        CPPUNIT_ASSERT_EQUAL(std::string("side-1"),
-                             (*object_)["meta"]["Name"].get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("side-1"),
+            objects_.at("side-1")["meta"]["Name"].get<std::string>());
         CPPUNIT_ASSERT(save(0) == errc::ok);
-        CPPUNIT_ASSERT(!object_);
+        CPPUNIT_ASSERT(objects_.empty());
         CPPUNIT_ASSERT(save(0) == errc::ok);
         CPPUNIT_ASSERT(
             (methods_ == std::vector<std::string>{"GET", "POST", "PUT",
@@ -164,6 +218,107 @@
         failure_status_ = 429;
         CPPUNIT_ASSERT(save(1) == errc::store_rate_limited);
     }
+
+    /// Runs the loop until \a call has called its handler; returns the outcome.
+    template <class T, class Call>
+    result<T> outcome_of(const Call& call)
+    {
+        std::optional<result<T>> outcome;
+        call([&outcome](const result<T>& r) { outcome = r; });
+        run_until([&outcome] { return outcome.has_value(); });
+        return *outcome;
+    }
+
+    result<record_list> read_records(bool stale_allowed)
+    {
+        return outcome_of<record_list>(
+            [&](const auto& done) {
+                client_->membership().list(member_kind::agent, stale_allowed,
+                                           done);
+            });
+    }
+
+    result<void> remove(const membership_record& record)
+    {
+        return outcome_of<void>(
+            [&](const auto& done) {
+                client_->membership().remove(member_kind::agent, record, done);
+            });
+    }
+
+    record_writer::calls record_of(std::uint64_t incarnation)
+    {
+        return client_->own_record(member_kind::agent, "side-1",
+                                   endpoint::parse("127.0.0.1:80").value(),
+                                   incarnation);
+    }
+
+    void put_records(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            put("side-" + std::to_string(1000 + i),
+                {{"Relay", "127.0.0.1:" + std::to_string(1000 + i)}});
+    }
+
+    /// Records beyond the first page were never read.
+    void list_of_records_is_read_whole()
+    {
+        put_records(120);
+        put("side-bad", {{"Relay", "nowhere"}});
+        const auto all = read_records(true);
+        CPPUNIT_ASSERT(all);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{120}, all.value().size());
+        CPPUNIT_ASSERT(
+            (queries_ ==
+             std::vector<std::string>{"StaleOk=1", "StaleOk=1&after=side-1049",
+                                      "StaleOk=1&after=side-1099"}));
+    }
+
+    /// The client would read the same page for ever.
+    void endless_list_of_records_is_refused()
+    {
+        put_records(60);
+        ignores_after_ = true;
+        CPPUNIT_ASSERT(!read_records(false));
+    }
+
+    /// The restarted process wrote the same content, which left the revision
+    /// unchanged, so that the removal of its predecessor was not refused.
+    void late_removal_leaves_the_record_of_a_restarted_process()
+    {
+        CPPUNIT_ASSERT(outcome_of<void>(record_of(1).write));
+        CPPUNIT_ASSERT(outcome_of<bool>(record_of(1).check).value());
+        CPPUNIT_ASSERT(!outcome_of<bool>(record_of(2).check).value());
+        const auto earlier = read_records(false).value().front();
+        const auto restarted = record_of(2);
+        CPPUNIT_ASSERT(!outcome_of<void>(restarted.write));
+        CPPUNIT_ASSERT(outcome_of<void>(restarted.write));
+        CPPUNIT_ASSERT(!remove(earlier));
+        const auto current = read_records(false).value().front();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, current.incarnation);
+        CPPUNIT_ASSERT(remove(current));
+        CPPUNIT_ASSERT(objects_.empty());
+    }
+
+    /// The next write took the object to be missing, and failed. Another
+    /// removal would have been unconditional.
+    void refused_removal_shows_that_the_object_exists()
+    {
+        http_client::options options;
+        options.host = "127.0.0.1";
+        options.port = server_->port();
+        http_client client(*loop_, options);
+        const auto object =
+            std::make_shared<stored_object>(client, "kind", "name");
+        const auto save = [&](const auto& done) { object->save(1, done); };
+        const auto erase = [&](const auto& done) { object->remove(done); };
+        CPPUNIT_ASSERT(outcome_of<void>(save));
+        put("name", 2);
+        CPPUNIT_ASSERT(!outcome_of<void>(erase));
+        CPPUNIT_ASSERT(!outcome_of<void>(erase));
+        CPPUNIT_ASSERT(outcome_of<void>(save));
+        CPPUNIT_ASSERT_EQUAL(std::string("PUT"), methods_.back());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_client_test);
--- a/test/relay/balancer_records_test.cpp
+++ b/test/relay/balancer_records_test.cpp
@@ -1,4 +1,5 @@
-#include "briarfield/relay/balancer_records.hpp"
+#include "briarfield/relay/balancer_search.hpp"
+#include "briarfield/relay/record_writer.hpp"
 
 #include "support/dispatch_world.hpp"
 
@@ -17,12 +18,13 @@
     CPPUNIT_TEST_SUITE(balancer_records_test);
     CPPUNIT_TEST(record_is_written_once);
     CPPUNIT_TEST(failed_write_is_repeated);
+    CPPUNIT_TEST(missing_record_is_written_again);
     CPPUNIT_TEST(record_is_removed_when_the_balancer_stops);
     CPPUNIT_TEST(balancers_that_start_together_write_at_different_times);
     CPPUNIT_TEST(nothing_is_read_while_balancers_are_heard);
     CPPUNIT_TEST(records_are_read_when_no_balancer_is_heard);
     CPPUNIT_TEST(failed_reads_back_off);
-    CPPUNIT_TEST(many_records_are_tried_in_samples);
+    CPPUNIT_TEST(all_records_are_tried_within_seconds);
     CPPUNIT_TEST_SUITE_END();
 
     manual_clock clock_;
@@ -35,6 +37,7 @@
     result<std::vector<endpoint>> list_outcome_ = std::vector<endpoint>();
     std::vector<endpoint> found_;
     bool heard_ = false;
+    result<bool> present_ = true;
 
     void wait(duration d)
     {
@@ -45,17 +48,17 @@
         }
     }
 
-    std::unique_ptr<balancer_record_writer> start_writer()
+    std::unique_ptr<record_writer> start_writer()
     {
-        balancer_record_writer::calls calls;
+        record_writer::calls calls;
         calls.write = [this](const std::function<void(result<void>)>& done)
         {
             ++writes_;
             done(write_outcome_);
         };
         calls.remove = [this] { ++removals_; };
-        auto writer =
-            std::make_unique<balancer_record_writer>(timers_, random_, calls);
+        calls.check = [this](const auto& done) { done(present_); };
+        auto writer = std::make_unique<record_writer>(timers_, random_, calls);
         writer->start();
         return writer;
     }
@@ -97,6 +100,21 @@
         CPPUNIT_ASSERT_EQUAL(written, writes_);
     }
 
+    /// A balancer removes the record of an agent that was paused or cut off for
+    /// a minute. Without a record, balancers that start do not await the agent.
+    void missing_record_is_written_again()
+    {
+        const auto writer = start_writer();
+        wait(3min);
+        present_ = error{errc::store_unreachable};
+        wait(3min);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), writes_);
+        present_ = false;
+        clock_.advance(2min);
+        wait(3s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), writes_);
+    }
+
     void record_is_removed_when_the_balancer_stops()
     {
         const auto early = start_writer();
@@ -113,7 +131,7 @@
     /// The users' two-year size: 550 balancers, of which each write counts.
     void balancers_that_start_together_write_at_different_times()
     {
-        std::vector<std::unique_ptr<balancer_record_writer>> all(550);
+        std::vector<std::unique_ptr<record_writer>> all(550);
         for (auto& writer : all)
             writer = start_writer();
         for (int i = 0; i < 20; ++i)
@@ -161,20 +179,30 @@
         CPPUNIT_ASSERT(found_.empty());
     }
 
-    void many_records_are_tried_in_samples()
+    /// 600 records of balancers that are gone hid the living one for good, as
+    /// each read tried a sample of 16. RECOVER allows 12 s.
+    void all_records_are_tried_within_seconds()
     {
         std::vector<endpoint> all;
-        for (std::uint16_t port = 1; port <= 200; ++port)
+        for (std::uint16_t port = 1; port <= 601; ++port)
             all.push_back(host_endpoint(9, port));
         list_outcome_ = all;
         const auto search = start_search();
-        wait(3500ms);
-        CPPUNIT_ASSERT_EQUAL(reads_ * balancer_search::options().sample,
-                             found_.size());
-        wait(20min);
-        for (const endpoint& address : all)
-            CPPUNIT_ASSERT(std::find(found_.begin(), found_.end(), address) !=
-                           found_.end());
+        search->on_found = [this](const std::vector<endpoint>& addresses)
+        {
+            CPPUNIT_ASSERT(addresses.size() <=
+                           balancer_search::options().batch);
+            found_.insert(found_.end(), addresses.begin(), addresses.end());
+        };
+        wait(8s);
+        CPPUNIT_ASSERT(found_.size() >= all.size());
+        std::sort(found_.begin(), found_.begin() + 601);
+        CPPUNIT_ASSERT(std::equal(all.begin(), all.end(), found_.begin()));
+        heard_ = true;
+        wait(1s);
+        const std::size_t tried = found_.size();
+        wait(1min);
+        CPPUNIT_ASSERT_EQUAL(tried, found_.size());
     }
 };
 
--- a/test/relay/startup_test.cpp
+++ b/test/relay/startup_test.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(balancer_without_agents_sends_notices_fast);
     CPPUNIT_TEST(balancer_with_an_agent_sends_notices_each_second);
     CPPUNIT_TEST(balancer_tells_one_without_agents_of_its_agents);
+    CPPUNIT_TEST(balancer_sends_hellos_to_recorded_processes);
+    CPPUNIT_TEST(agent_tries_many_recorded_balancers_once);
     CPPUNIT_TEST_SUITE_END();
 
     manual_clock clock_;
@@ -90,12 +92,14 @@
                 .value());
     }
 
-    void start_balancer()
+    void start_balancer() { start_balancer({seed_->local()}); }
+
+    void start_balancer(const std::vector<endpoint>& seeds)
     {
         relay_balancer_options options;
         options.callers = any_port();
         options.relay = any_port();
-        options.seeds = {seed_->local()};
+        options.seeds = seeds;
         balancer_ =
             std::move(relay_balancer::create(
                           *loop_, options, make_packet_codec(), place_by_load())
@@ -210,6 +214,46 @@
         CPPUNIT_ASSERT(!notices_.empty());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, notices_.back().agents.size());
     }
+
+    /// Groups of balancers with different live seeds never merged.
+    void balancer_sends_hellos_to_recorded_processes()
+    {
+        start_balancer({});
+        advance(200ms);
+        CPPUNIT_ASSERT(notices_.empty());
+        membership_tracker::calls store;
+        store.list = [this](member_kind kind, bool, const auto& done)
+        {
+            record_list all;
+            if (kind == member_kind::balancer)
+                all.push_back({"edge-2", seed_->local(), 1, 1});
+            done(all);
+        };
+        balancer_->follow_records(random_, store);
+        advance(100ms);
+        CPPUNIT_ASSERT(!notices_.empty());
+        CPPUNIT_ASSERT(balancer_->membership_counters()->value(
+                           membership_event::hello_sent) > 0);
+    }
+
+    /// While no balancer responds, heartbeats are sent every 50 ms: to all of
+    /// 600 recorded addresses that would be 12,000 datagrams a second.
+    void agent_tries_many_recorded_balancers_once()
+    {
+        start_agent();
+        for (std::uint16_t port = 1; port <= 20; ++port)
+            agent_->try_balancers({{seed_->local().address, port}});
+        advance(100ms);
+        std::size_t received = 0;
+        const auto recorded =
+            std::move(udp_socket::create(*loop_, any_port(),
+                                         [&received](byte_span, const endpoint&)
+                                         { ++received; })
+                          .value());
+        agent_->try_recorded_balancers({recorded->local()});
+        advance(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, received);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(startup_test);
