--- a/include/briarfield/relay/record_writer.hpp
+++ b/include/briarfield/relay/record_writer.hpp
@@ -26,10 +26,12 @@
 class record_writer
 {
 public:
+    using write_handler = std::function<void(result<void>)>;
+
     /// \brief Calls to the store; each calls its handler once.
     struct calls
     {
-        std::function<void(std::function<void(result<void>)>)> write;
+        std::function<void(write_handler)> write;
         std::function<void()> remove;
         /// Whether the record is in the store as written.
         std::function<void(std::function<void(result<bool>)>)> check;
