--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -66,6 +66,8 @@
     /// A peer reported an agent whose heartbeats are not received here.
     unheard_agent,
     no_agents, ///< No agent could be queried.
+    /// Agents may exist that this balancer does not track.
+    unconfirmed_agents,
     count_
 };
 
@@ -273,6 +275,11 @@
     /// any, is to be passed to \ref on_kept_packet now.
     std::function<void(const flow_key&)> resume_kept_packet;
 
+    /// \brief Returns whether every agent that may exist has been heard, or
+    /// is known to be gone; if set, no flow is reset as lost while it returns
+    /// false.
+    std::function<bool()> agents_confirmed;
+
     /// \brief Called for each decision worth a log line: all but packets sent
     /// to a known server.
     std::function<void(const flow_packet&, const dispatch_verdict&)>
