All packets of a flow wait for its search, not only the first

Cause: since searches run in parallel, only the first packet of a flow was kept while its server was searched for. A request that followed an acknowledgment was dropped, and came again with the caller's retransmission after 200 ms.

Change: kept_packets keeps up to 16 packets of a flow and passes them in order; a found flow releases them at once, also if the holder was queried by the packet.

--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -360,6 +360,8 @@
     bool queue_query(agent_index agent, const flow_key& key);
     flow_location& confirm(const flow_key& key, agent_index agent);
     void on_found_by_message(const flow_key& key, agent_index agent);
+    dispatch_verdict forward_kept_packet(const flow_packet& packet,
+                                         flow_location& location);
     dispatch_verdict search(const flow_packet& packet, flow_location& location);
     bool repeat_queries(const flow_key& key,
                         search_progress& search,
--- a/include/briarfield/dispatch/flow_locator.hpp
+++ b/include/briarfield/dispatch/flow_locator.hpp
@@ -39,8 +39,8 @@
     std::optional<std::uint32_t> opening_sequence;
     unsigned failed_searches = 0; ///< Unsuccessful searches.
     bool unanswered = false;      ///< A server did not respond in this search.
-    /// A kept packet is to be forwarded to \ref agent, which was not queried by
-    /// the packet itself.
+    /// The next kept packet is to be forwarded to \ref agent, which was not
+    /// queried by it.
     bool forward_kept = false;
     bool force = false; ///< Overloaded servers must accept the opening, too.
     /// The opening was sent to a server that is reported as unavailable.
--- a/include/briarfield/relay/kept_packets.hpp
+++ b/include/briarfield/relay/kept_packets.hpp
@@ -13,14 +13,16 @@
 namespace briarfield
 {
 
-/// \brief Copies of packets that wait for the search for their flow, one for
-/// each flow.
+/// \brief Copies of packets that wait for the search for their flow.
 class kept_packets
 {
 public:
     /// \brief Maximum number; with their payload they take less than 1 MB.
     static constexpr std::size_t capacity = 512;
 
+    /// \brief Maximum number of a flow: a caller has no more in flight.
+    static constexpr std::size_t capacity_of_flow = 16;
+
     /// \brief Calls \ref on_due through \a timers. A copy has \a headroom
     /// writable bytes in front.
     kept_packets(timer_queue& timers, std::size_t headroom)
@@ -31,33 +33,41 @@
     kept_packets(const kept_packets&) = delete;
     kept_packets& operator=(const kept_packets&) = delete;
 
-    /// \brief Keeps a copy for \a delay. If the flow has a kept packet, that
-    /// one stays, and the earlier of both times counts. Does nothing if there
-    /// are too many.
+    /// \brief Keeps a copy for \a delay, behind those that the flow has; the
+    /// earliest of their times counts for all. No copy is made if there are too
+    /// many.
     void keep(const flow_key& flow, byte_span packet, duration delay);
 
-    /// \brief Removes the flow's packet, if any, and passes it to \ref on_due.
+    /// \brief Removes the flow's packets and passes them to \ref on_due, in
+    /// the order in which they came.
     void release(const flow_key& flow);
 
-    std::size_t size() const { return packets_.size(); }
+    std::size_t size() const { return size_; }
 
     /// \brief Called with a packet when its time has come; the bytes are valid
     /// until it returns.
-    std::function<void(byte_span packet)> on_due;
+    ///
+    /// If it keeps the packet again, the flow's others wait with it. \returns
+    /// whether they are to be passed, otherwise; if not, they are discarded.
+    std::function<bool(byte_span packet)> on_due;
 
 private:
+    using buffer = std::vector<std::uint8_t>; ///< Headroom and packet.
+
     struct entry
     {
-        std::vector<std::uint8_t> bytes;
+        std::vector<buffer> packets;
         time_point due{};
         timer_id timer = 0;
     };
 
     void set_timer(const flow_key& flow, entry& kept, duration delay);
+    bool pass(buffer& packet);
 
     timer_queue* timers_;
     std::size_t headroom_;
-    std::unordered_map<flow_key, entry, flow_key_hash> packets_;
+    std::size_t size_ = 0; ///< Packets of all flows.
+    std::unordered_map<flow_key, entry, flow_key_hash> flows_;
 };
 
 } // namespace briarfield
--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -134,7 +134,7 @@
                        const flow_packet& p);
     void connect_search();
     void flush_queries();
-    void on_kept_packet(byte_span packet);
+    bool on_kept_packet(byte_span packet);
     void send_flow_query(const endpoint& agent,
                          std::uint32_t id,
                          const std::vector<flow_key>& flows);
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -463,8 +463,12 @@
 void flow_dispatcher::on_flow_held(const flow_key& key, const endpoint& from)
 {
     const agent_index agent = agents_->find(from);
-    if (agent != no_agent)
-        (void)confirm(key, agent);
+    if (agent == no_agent)
+        return;
+    const bool searched_for = searches_.count(key) != 0;
+    (void)confirm(key, agent);
+    if (searched_for && resume_kept_packet)
+        resume_kept_packet(key);
 }
 
 /// Records that the server of \a agent has the flow.
--- a/src/dispatch/flow_search.cpp
+++ b/src/dispatch/flow_search.cpp
@@ -87,7 +87,6 @@
                                                    flow_location& location)
 {
     const time_point now = clock_->now();
-    location.forward_kept = false;
     const bool located = (location.state == location_state::placed ||
                           location.state == location_state::confirmed) &&
                          location.agent != no_agent &&
@@ -111,8 +110,8 @@
     flow_location* location = flows_.find(packet.key);
     if (location == nullptr)
         return drop(dispatch_event::dropped_kept);
-    if (location->forward_kept)
-        return report(packet, forward_existing(packet, *location));
+    if (location->state == location_state::confirmed)
+        return forward_kept_packet(packet, *location);
     const bool searching = location->state == location_state::searching ||
                            location->state == location_state::lost;
     if (!searching ||
@@ -121,6 +120,16 @@
     return report(packet, forward_existing(packet, *location));
 }
 
+/// The holder has got the first kept packet if it was queried by the packet.
+dispatch_verdict flow_dispatcher::forward_kept_packet(const flow_packet& packet,
+                                                      flow_location& location)
+{
+    if (location.forward_kept)
+        return report(packet, forward_existing(packet, location));
+    location.forward_kept = true;
+    return drop(dispatch_event::dropped_kept);
+}
+
 /// Servers that returned the opening, or did not respond to it, may have taken
 /// another copy of it, so a search must query them.
 void flow_dispatcher::end_placement(const flow_key& key,
@@ -203,6 +212,7 @@
         progress->begin_round();
     location.state = location_state::searching;
     location.agent = no_agent;
+    location.forward_kept = false;
     packet_targets targets;
     const bool repeated = repeat_queries(packet.key, *progress, targets);
     const bool asked = ask_next(packet.key, *progress, targets);
--- a/src/relay/kept_packets.cpp
+++ b/src/relay/kept_packets.cpp
@@ -1,5 +1,6 @@
 #include "briarfield/relay/kept_packets.hpp"
 
+#include <iterator>
 #include <utility>
 
 namespace briarfield
@@ -7,25 +8,26 @@
 
 kept_packets::~kept_packets()
 {
-    for (const auto& [flow, kept] : packets_)
+    for (const auto& [flow, kept] : flows_)
         timers_->cancel(kept.timer);
 }
 
 void kept_packets::keep(const flow_key& flow, byte_span packet, duration delay)
 {
-    const auto found = packets_.find(flow);
-    if (found != packets_.end())
+    const auto found = flows_.find(flow);
+    if (found == flows_.end() && size_ >= capacity)
+        return;
+    entry& kept = found == flows_.end() ? flows_[flow] : found->second;
+    if (size_ < capacity && kept.packets.size() < capacity_of_flow)
     {
-        if (timers_->now() + delay >= found->second.due)
-            return;
-        timers_->cancel(found->second.timer);
-        return set_timer(flow, found->second, delay);
+        buffer copy(headroom_);
+        copy.insert(copy.end(), packet.begin(), packet.end());
+        kept.packets.push_back(std::move(copy));
+        ++size_;
     }
-    if (packets_.size() >= capacity)
+    if (kept.timer != 0 && timers_->now() + delay >= kept.due)
         return;
-    entry& kept = packets_[flow];
-    kept.bytes.resize(headroom_);
-    kept.bytes.insert(kept.bytes.end(), packet.begin(), packet.end());
+    timers_->cancel(kept.timer);
     set_timer(flow, kept, delay);
 }
 
@@ -37,14 +39,30 @@
 
 void kept_packets::release(const flow_key& flow)
 {
-    const auto found = packets_.find(flow);
-    if (found == packets_.end())
+    const auto found = flows_.find(flow);
+    if (found == flows_.end())
         return;
     entry kept = std::move(found->second);
-    packets_.erase(found);
+    flows_.erase(found);
     timers_->cancel(kept.timer);
-    on_due(
-        byte_span(kept.bytes.data(), kept.bytes.size()).drop_front(headroom_));
+    size_ -= kept.packets.size();
+    auto next = kept.packets.begin();
+    while (next != kept.packets.end() && pass(*next++))
+    {
+        const auto again = flows_.find(flow);
+        if (again == flows_.end())
+            continue;
+        size_ += static_cast<std::size_t>(kept.packets.end() - next);
+        std::move(next, kept.packets.end(),
+                  std::back_inserter(again->second.packets));
+        return;
+    }
+}
+
+bool kept_packets::pass(buffer& packet)
+{
+    return on_due(
+        byte_span(packet.data(), packet.size()).drop_front(headroom_));
 }
 
 } // namespace briarfield
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -203,9 +203,10 @@
 {
     kept_.on_due = [this](byte_span packet)
     {
-        on_kept_packet(packet);
+        const bool goes_on = on_kept_packet(packet);
         relay_->flush();
         callers_->flush();
+        return goes_on;
     };
     dispatcher_.resume_kept_packet = [this](const flow_key& key)
     { kept_.release(key); };
@@ -386,11 +387,15 @@
     }
 }
 
-void relay_balancer::on_kept_packet(byte_span packet)
+/// \returns whether the flow was not reset.
+bool relay_balancer::on_kept_packet(byte_span packet)
 {
     const auto p = codec_.decode_caller(packet);
-    if (p)
-        apply_verdict(dispatcher_.on_kept_packet(p.value()), packet, p.value());
+    if (!p)
+        return false;
+    const dispatch_verdict verdict = dispatcher_.on_kept_packet(p.value());
+    apply_verdict(verdict, packet, p.value());
+    return verdict.decision != dispatch_verdict::action::reset;
 }
 
 void relay_balancer::on_message(const relay_frame& frame)
