Resets in the name of a server that has not started are dropped

Cause: parallel searches query agents of new instances by the packet.

Change: an agent drops a reset while its server is unknown, unless the server has sent on the flow since the agent's start; agents of unknown servers are queried last.

--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -40,8 +40,9 @@
     refused_evacuated,   ///< Opening while the zone is evacuated.
     refused_warming,     ///< Opening beyond what a warming server takes.
     dropped_unknown_tag, ///< Returned with a tag from before the agent's start.
-    probed,      ///< Probe delivered to the server; the label is "asked".
-    reset_ended, ///< Probe returned by the server: the flow is lost.
+    probed,            ///< Probe delivered to the server; the label is "asked".
+    reset_ended,       ///< Probe returned by the server: the flow is lost.
+    dropped_unstarted, ///< Reset in the name of a server that has not started.
     count_
 };
 
@@ -244,6 +245,8 @@
     void record_returned(const flow_key& key);
     void record_returned_opening();
     gate_verdict end_flow(const flow_packet& packet);
+    bool is_reset_of_unstarted_server(const flow_packet& packet) const;
+    gate_verdict drop(gate_event event);
     bool was_delivered(const flow_key& key) const;
     bool has_sent_on(const flow_key& key) const;
     std::size_t expected_requests() const;
--- a/src/dispatch/flow_search.cpp
+++ b/src/dispatch/flow_search.cpp
@@ -392,8 +392,9 @@
         if (!agents_->may_hold_flows(index) || !search.may_query(index))
             continue;
         const agent_directory::record& record = agents_->at(index);
-        const bool responds =
-            agents_->alive(index) && !record.status.restarting;
+        const bool responds = agents_->alive(index) &&
+                              !record.status.restarting &&
+                              record.status.state != server_state::unknown;
         const bool of_route =
             route != nullptr &&
             std::any_of(route->targets.begin(), route->targets.end(),
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -25,7 +25,8 @@
                                             "refused_warming",
                                             "dropped_unknown_tag",
                                             "asked",
-                                            "reset_ended"};
+                                            "reset_ended",
+                                            "dropped_unstarted"};
 static_assert(std::size(event_names) ==
               static_cast<std::size_t>(gate_event::count_));
 
@@ -234,6 +235,8 @@
         return end_flow(packet);
     if (packet.returned)
         return return_packet(packet, tag);
+    if (is_reset_of_unstarted_server(packet))
+        return drop(gate_event::dropped_unstarted);
     server_->record_activity();
     gate_verdict verdict;
     verdict.decision = gate_verdict::action::answer;
@@ -312,11 +315,7 @@
     gate_verdict verdict;
     const std::size_t position = tag - first_tag;
     if (tag < first_tag || position >= balancers_.size())
-    {
-        verdict.event = gate_event::dropped_unknown_tag;
-        counters_.add(verdict.event);
-        return verdict;
-    }
+        return drop(gate_event::dropped_unknown_tag);
     if (packet.kind == packet_kind::opening)
         record_returned_opening();
     else
@@ -344,6 +343,25 @@
         policy_->record_possible_restart();
 }
 
+/// Whether \a packet is a reset although the server has sent neither a
+/// heartbeat nor a packet of the flow since the agent's start. Its instance
+/// resets packets before the server has started, also those of a search for a
+/// flow that another server has.
+bool server_gate::is_reset_of_unstarted_server(const flow_packet& packet) const
+{
+    return packet.kind == packet_kind::reset &&
+           server_->state() == server_state::unknown &&
+           !has_sent_on(packet.key);
+}
+
+gate_verdict server_gate::drop(gate_event event)
+{
+    counters_.add(event);
+    gate_verdict verdict;
+    verdict.event = event;
+    return verdict;
+}
+
 /// Whether the balancer at \a balancer has kept the flow's last packet.
 bool server_gate::balancer_kept_packet(const flow_key& key,
                                        std::size_t balancer) const
--- a/test/dispatch/server_gate_test.cpp
+++ b/test/dispatch/server_gate_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(forced_opening_reaches_an_ejected_server);
     CPPUNIT_TEST(copy_of_a_delivered_opening_is_delivered);
     CPPUNIT_TEST(server_that_never_started_is_reported_as_gone);
+    CPPUNIT_TEST(reset_of_an_unstarted_server_is_dropped);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint32_t slots = 4;
@@ -385,6 +386,26 @@
         CPPUNIT_ASSERT(other.on_heartbeat(heartbeat));
         CPPUNIT_ASSERT(gate.status().state != server_state::gone);
     }
+
+    /// The instance of a server that had not started reset the packet of a
+    /// search, and so the flow that another server had open.
+    void reset_of_an_unstarted_server_is_dropped()
+    {
+        server_registration other(clock_, "datum", 1900ms);
+        server_gate gate(clock_, other);
+        const auto searched =
+            gate.on_balancer_packet(packet(packet_kind::segment, 100),
+                                    {forward_mode::search, 0}, balancer_);
+        CPPUNIT_ASSERT(searched.decision == gate_verdict::action::deliver);
+        const flow_packet reset = packet(packet_kind::reset);
+        CPPUNIT_ASSERT(gate.on_server_packet(reset, 0).decision ==
+                       gate_verdict::action::drop);
+        server_heartbeat heartbeat;
+        heartbeat.service = "datum";
+        CPPUNIT_ASSERT(other.on_heartbeat(heartbeat));
+        CPPUNIT_ASSERT(gate.on_server_packet(reset, 0).decision ==
+                       gate_verdict::action::answer);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_gate_test);
