--- a/include/briarfield/dispatch/admission_policy.hpp
+++ b/include/briarfield/dispatch/admission_policy.hpp
@@ -22,7 +22,8 @@
 {
     /// Every server that may take the opening is overloaded.
     bool overloaded = false;
-    /// No server can have taken an earlier copy of the opening.
+    /// The opening is no retransmission, so that no server has taken it; or the
+    /// balancer has just started, and drops it instead of resetting it.
     bool may_reject = false;
     /// The routes in force have different priorities.
     bool priorities_differ = false;
@@ -45,9 +46,7 @@
     /// cheapest route. The rest covers requests that take longer than the mean.
     double aim_fraction = 2.0 / 3;
     /// The same for the most expensive route. The places in queues between the
-    /// two are kept for cheaper requests. In the model of a burst of the lowest
-    /// of two priorities, 1/3 rejects 3% of the highest and 1/6 none; 0 rejects
-    /// more of the lowest without a gain.
+    /// two are kept for cheaper requests.
     double expensive_aim_fraction = 1.0 / 6;
     /// Part of the openings that are treated as those of the cheapest route
     /// whatever they cost, so that no route is without service.
--- a/include/briarfield/dispatch/agent_directory.hpp
+++ b/include/briarfield/dispatch/agent_directory.hpp
@@ -212,7 +212,7 @@
 
 private:
     agent_index allocate_record();
-    bool may_take(const record& agent, agent_index i, service_tag tag) const;
+    bool may_take(agent_index i, service_tag tag) const;
 
     const clock* clock_;
     options options_;
--- a/include/briarfield/dispatch/evacuation_set.hpp
+++ b/include/briarfield/dispatch/evacuation_set.hpp
@@ -12,7 +12,7 @@
 /// \brief Zones whose servers get no new flows, as read from the store.
 struct evacuated_zones
 {
-    /// Of the store; rises when it comes back from an older copy.
+    /// Of the store; rises each time it is restored from an older copy.
     std::uint64_t era = 0;
     std::uint64_t revision = 0; ///< Of the store; 0: never read.
     std::vector<std::string> zones;
@@ -38,7 +38,7 @@
 
     const evacuated_zones& current() const { return current_; }
 
-    /// \brief Called for each zone that is evacuated or taken back.
+    /// \brief Called for each zone whose evacuation begins or ends.
     std::function<void(const std::string& zone, bool evacuated)> on_change;
 
 private:
--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -75,12 +75,12 @@
 std::string_view
 search_uncertainty_name(search_uncertainty uncertainty) noexcept;
 
-/// \brief Outcome of a query about one flow; each has a counter.
+/// \brief Events of a query about one flow; each has a counter.
 enum class query_event : std::uint8_t
 {
     sent,         ///< An agent was queried by a message.
     sent_packet,  ///< An agent was queried by the packet itself.
-    repeated,     ///< The same, after a timeout.
+    repeated,     ///< An agent was queried again after a timeout.
     held,         ///< The agent's server has the flow.
     not_held,     ///< The agent's server does not have the flow.
     undecided,    ///< The agent's records are not complete.
@@ -370,6 +370,8 @@
     bool ask_next(const flow_key& key,
                   search_progress& search,
                   packet_targets& targets);
+    /// Number of agents that the first step of a search queries.
+    std::size_t first_step_size() const { return 2 * options_.max_candidates; }
     std::size_t room_for_queries(const search_progress& search) const;
     bool send_query_to(agent_index agent,
                        const flow_key& key,
--- a/include/briarfield/dispatch/opening_policy.hpp
+++ b/include/briarfield/dispatch/opening_policy.hpp
@@ -65,8 +65,8 @@
     /// evacuated, or may be.
     bool drains() const;
 
-    /// \brief Whether no balancer has told the evacuated zones yet, so that no
-    /// opening is taken.
+    /// \brief Whether the evacuated zones have not been received from a
+    /// balancer yet, so that no opening is taken.
     bool awaits_evacuations() const;
 
     /// \brief Whether the server warms up, or may.
--- a/include/briarfield/dispatch/route_work.hpp
+++ b/include/briarfield/dispatch/route_work.hpp
@@ -24,6 +24,7 @@
 
     explicit route_work(const clock& c) : clock_(&c) {}
 
+    /// \brief Records the times in a report of an agent.
     void record(const std::vector<route_time>& report);
 
     /// \brief Time of a request to \a destination, in units of \ref duration;
--- a/include/briarfield/dispatch/service_time_comparison.hpp
+++ b/include/briarfield/dispatch/service_time_comparison.hpp
@@ -11,17 +11,15 @@
 /// \brief Measured service times of the servers of one service, relative to
 /// their mean.
 ///
-/// Holds 1 for each server unless the times differ by more than they do by
-/// chance. Servers that are warming up (their load is scaled already), not yet
-/// measured, or idle for so long that the time may be outdated count as the
-/// mean.
+/// \ref relative is 1 for each server unless the times differ by more than they
+/// do by chance. Servers that are warming up (their load is scaled already),
+/// not yet measured, or idle for so long that the time may be outdated count as
+/// the mean.
 class service_time_comparison
 {
 public:
     /// \brief Ratio of the longest to the shortest time from which servers are
-    /// unequal. Among 16 equal servers, \ref service_time_gauge exceeds it in
-    /// at most 1.3% of the heartbeats, whether times of requests are
-    /// exponential, log-normal, or 14 times the mean for each 70th request.
+    /// unequal. Equal servers rarely differ by more by chance.
     static constexpr double unequal_ratio = 1.75;
 
     /// \brief Requests in progress per slot from which servers are compared.
@@ -32,6 +30,7 @@
     /// for about two seconds.
     static constexpr double idle_requests = 0.02;
 
+    /// \brief Adds a server of the service.
     void add(const agent_directory::record& record);
 
     /// \brief Whether the times of the added servers differ clearly.
--- a/include/briarfield/dispatch/service_time_gauge.hpp
+++ b/include/briarfield/dispatch/service_time_gauge.hpp
@@ -39,9 +39,10 @@
     /// \brief Records the start of a request at a server with \a slots.
     request_id begin(unsigned slots);
 
-    /// \brief Records the end of \a request.
+    /// \brief Records the end of \a request, which counts for the mean only if
+    /// it was \a answered.
     ///
-    /// \returns its time in a slot if it has \a answered set; 0 if unknown.
+    /// \returns its time in a slot; 0 if it was not answered or still waited.
     duration end(request_id request, bool answered);
 
     /// \brief The mean; 0 before the first request. Requests that have been
--- a/include/briarfield/dispatch/warmup_limiter.hpp
+++ b/include/briarfield/dispatch/warmup_limiter.hpp
@@ -18,7 +18,7 @@
 struct warmup_limit
 {
     std::string service;
-    /// Openings a second that a warming server bears; 0: any number.
+    /// Openings a second that a warming server may take; 0: no limit.
     float per_second = 0;
     duration warmup{}; ///< From the start of a server.
 };
@@ -30,7 +30,8 @@
 class warmup_limiter
 {
 public:
-    /// \brief Limit of the operators, beside the one in the configuration.
+    /// \brief Tolerance beyond the limit in the configuration; both 0: no
+    /// limit.
     struct options
     {
         double overshoot = 0; ///< Factor on warmup_limit::per_second.
--- a/include/briarfield/relay/balancer_search.hpp
+++ b/include/briarfield/relay/balancer_search.hpp
@@ -28,7 +28,7 @@
     {
         /// Balancers usually respond to heartbeats and notices within this
         /// time, also after a restart of everything.
-        duration patience = std::chrono::seconds(2);
+        duration search_delay = std::chrono::seconds(2);
         /// Processes that lose their balancers together read at random times
         /// within this.
         duration spread = std::chrono::seconds(1);
--- a/include/briarfield/relay/membership_view.hpp
+++ b/include/briarfield/relay/membership_view.hpp
@@ -23,7 +23,7 @@
 /// Compares the records in the store and the reports of peers with the messages
 /// that the balancer has received. The list of agents is confirmed if both
 /// kinds of records were read, or the store has not responded for
-/// options::store_patience, and every agent that is recorded or reported has
+/// options::store_timeout, and every agent that is recorded or reported has
 /// been heard or given up.
 class membership_view
 {
@@ -34,7 +34,7 @@
         /// Without the store, the list of agents counts as complete this long
         /// after the start: agents without balancers find new ones within
         /// 4.5 s.
-        duration store_patience = std::chrono::seconds(6);
+        duration store_timeout = std::chrono::seconds(6);
         /// A process that has not been heard for this long after its first
         /// hello is given up. As long as the recovery timeout of
         /// \ref agent_directory, after which a silent agent holds no flows.
@@ -131,7 +131,7 @@
         std::unordered_map<endpoint, contact, endpoint_hash> contacts;
         std::unordered_map<endpoint, hello_state, endpoint_hash> awaited;
         /// Given up, and due one more hello since the records were read.
-        std::unordered_set<endpoint, endpoint_hash> reminded;
+        std::unordered_set<endpoint, endpoint_hash> pending_retries;
     };
 
     member_set& members(member_kind kind)
--- a/include/briarfield/relay/record_writer.hpp
+++ b/include/briarfield/relay/record_writer.hpp
@@ -6,6 +6,7 @@
 #include "briarfield/core/error.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -87,6 +88,8 @@
     options options_;
     backoff retry_backoff_;
     timer_id timer_ = 0;
+    /// A check that began before the latest one has no effect.
+    std::uint64_t scheduled_writes_ = 0;
     bool written_ = false;
     bool removed_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/dispatch/agent_directory.cpp
+++ b/src/dispatch/agent_directory.cpp
@@ -151,19 +151,18 @@
 bool agent_directory::takes_flows(agent_index i, service_tag tag) const
 {
     const record& agent = records_[i];
-    return agent.status.opening_room > 0 && may_take(agent, i, tag);
+    return agent.status.opening_room > 0 && may_take(i, tag);
 }
 
 bool agent_directory::awaits_room(agent_index i, service_tag tag) const
 {
     const record& agent = records_[i];
-    return agent.status.opening_room == 0 && may_take(agent, i, tag);
+    return agent.status.opening_room == 0 && may_take(i, tag);
 }
 
-bool agent_directory::may_take(const record& agent,
-                               agent_index i,
-                               service_tag tag) const
+bool agent_directory::may_take(agent_index i, service_tag tag) const
 {
+    const record& agent = records_[i];
     const bool in_service = agent.status.state == server_state::ready ||
                             agent.status.state == server_state::unknown;
     return agent.tag == tag && in_service && !agent.status.restarting &&
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -465,7 +465,7 @@
     const agent_index agent = agents_->find(from);
     if (agent == no_agent)
         return;
-    const bool searched_for = searches_.count(key) != 0;
+    const bool searched_for = is_searched_for(key);
     (void)confirm(key, agent);
     if (searched_for && resume_kept_packet)
         resume_kept_packet(key);
--- a/src/dispatch/flow_search.cpp
+++ b/src/dispatch/flow_search.cpp
@@ -214,9 +214,9 @@
     location.agent = no_agent;
     location.forward_kept = false;
     packet_targets targets;
-    const bool repeated = repeat_queries(packet.key, *progress, targets);
-    const bool asked = ask_next(packet.key, *progress, targets);
-    if (repeated && asked && progress->outstanding().empty())
+    const bool all_repeated = repeat_queries(packet.key, *progress, targets);
+    const bool all_asked = ask_next(packet.key, *progress, targets);
+    if (all_repeated && all_asked && progress->outstanding().empty())
         return fail_search(packet, location, *progress);
     dispatch_verdict verdict = query(targets);
     const bool awaits_repeated =
@@ -299,7 +299,7 @@
 std::size_t
 flow_dispatcher::room_for_queries(const search_progress& search) const
 {
-    const std::size_t first_step = 2 * options_.max_candidates;
+    const std::size_t first_step = first_step_size();
     if (search.queried() < first_step)
         return first_step - search.queried();
     const bool awaits_first_step =
@@ -320,7 +320,7 @@
     if (packets > 0 && 2 * packets > options_.max_parallel_packets)
         return false;
     return room_for_queries(search) > options_.max_parallel_queries / 2 ||
-           search.queried() < 2 * options_.max_candidates;
+           search.queried() < first_step_size();
 }
 
 bool flow_dispatcher::send_query_to(agent_index agent,
@@ -410,8 +410,9 @@
     return alternate(here, elsewhere, count);
 }
 
-/// Ends the query to \a agent. The round-trip time of a repeated query is
-/// ambiguous.
+/// Ends the query to \a agent and records its round-trip time, unless it was
+/// repeated, which makes the time ambiguous. Those of messages are recorded by
+/// \ref on_query_answer.
 void flow_dispatcher::end_query(search_progress& search, agent_index agent)
 {
     const outstanding_query ended = search.end_query(agent);
--- a/src/dispatch/opening_policy.cpp
+++ b/src/dispatch/opening_policy.cpp
@@ -53,10 +53,10 @@
 
 bool opening_policy::cold() const
 {
-    const bool untold =
+    const bool warmup_unknown =
         server_->state() == server_state::unknown ||
         (cold_since_ && server_->last_heartbeat() <= *cold_since_);
-    return untold || server_->warmup_left() > duration(0);
+    return warmup_unknown || server_->warmup_left() > duration(0);
 }
 
 std::uint16_t opening_policy::opening_room() const
--- a/src/dispatch/route_work.cpp
+++ b/src/dispatch/route_work.cpp
@@ -7,6 +7,8 @@
 {
     for (const route_time& r : report)
     {
+        if (r.service_time <= duration(0))
+            continue; // 0 stands for an unknown time.
         if (entries_.size() >= capacity && entries_.count(r.destination) == 0)
             remove_expired();
         if (entries_.size() >= capacity && entries_.count(r.destination) == 0)
--- a/src/dispatch/search_progress.cpp
+++ b/src/dispatch/search_progress.cpp
@@ -20,10 +20,7 @@
 
 bool search_progress::may_query(agent_index agent) const
 {
-    const bool is_outstanding = std::any_of(
-        outstanding_.begin(), outstanding_.end(),
-        [agent](const outstanding_query& q) { return q.agent == agent; });
-    return !is_outstanding && !contains(negative_, agent) &&
+    return attempts(agent) == 0 && !contains(negative_, agent) &&
            !contains(unresponsive_, agent);
 }
 
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -51,6 +51,13 @@
                       return_reason::other_service);
     const opening_permission allowed =
         opening ? permission() : opening_permission::granted;
+    // Another server must not get a later copy of an opening that this one may
+    // have taken.
+    if (allowed != opening_permission::granted &&
+        packet.retransmission_count > 0 && was_delivered(packet.key))
+        return drop(allowed == opening_permission::evacuated
+                        ? gate_event::refused_evacuated
+                        : gate_event::refused_warming);
     if (allowed == opening_permission::evacuated)
         return reject(packet, from, gate_event::refused_evacuated,
                       return_reason::draining);
@@ -141,7 +148,8 @@
 }
 
 /// A server that has timed out, has no capacity, has stopped without notice or
-/// fails its requests is reported as silent, so that it gets no new flows. One
+/// fails its requests is reported as silent, so that it gets no new flows, and
+/// one in an evacuated zone as draining, also if it is unavailable. One
 /// that has sent nothing since the agent's start is not running and holds no
 /// flows, so searches need not wait for its agent.
 server_state server_gate::reported_state() const
--- a/src/relay/balancer_search.cpp
+++ b/src/relay/balancer_search.cpp
@@ -40,7 +40,7 @@
     }
     const time_point now = timers_->now();
     if (!next_list_)
-        next_list_ = now + options_.patience +
+        next_list_ = now + options_.search_delay +
                      random_duration(*random_, options_.spread);
     if (!listing_ && untried_.empty() && now >= *next_list_)
         list();
--- a/src/relay/membership_view.cpp
+++ b/src/relay/membership_view.cpp
@@ -68,7 +68,7 @@
             await_owner(set, record);
         else if (!within(set.contacts[record.relay].last_heard,
                          options_.give_up_after))
-            set.reminded.insert(record.relay);
+            set.pending_retries.insert(record.relay);
     }
     remove_old_contacts(set);
 }
@@ -98,7 +98,7 @@
     sender.incarnation = incarnation;
     sender.given_up = false;
     set.awaited.erase(relay);
-    set.reminded.erase(relay);
+    set.pending_retries.erase(relay);
 }
 
 void membership_view::on_reported(member_kind kind, const endpoint& relay)
@@ -144,11 +144,11 @@
             take_awaited(kind, repeated, limit, due);
     for (const member_kind kind : all_kinds)
     {
-        auto& reminded = members(kind).reminded;
-        while (!reminded.empty() && due.size() < limit)
+        auto& pending_retries = members(kind).pending_retries;
+        while (!pending_retries.empty() && due.size() < limit)
         {
-            due.push_back({kind, *reminded.begin()});
-            reminded.erase(reminded.begin());
+            due.push_back({kind, *pending_retries.begin()});
+            pending_retries.erase(pending_retries.begin());
         }
     }
     return due;
@@ -180,7 +180,7 @@
         std::all_of(members_.begin(), members_.end(),
                     [](const member_set& set) { return set.listed; });
     const bool store_given_up =
-        clock_->now() - running_since_ >= options_.store_patience;
+        clock_->now() - running_since_ >= options_.store_timeout;
     return (complete || store_given_up) && awaited(member_kind::agent) == 0;
 }
 
--- a/src/relay/record_writer.cpp
+++ b/src/relay/record_writer.cpp
@@ -28,6 +28,7 @@
 
 void record_writer::schedule_write()
 {
+    ++scheduled_writes_;
     timers_->cancel(timer_);
     timer_ = timers_->schedule(random_duration(*random_, options_.spread),
                                [this] { write(); });
@@ -71,9 +72,10 @@
 void record_writer::check()
 {
     store_.check(
-        [this, alive = alive_](const result<bool>& present)
+        [this, alive = alive_,
+         scheduled = scheduled_writes_](const result<bool>& present)
         {
-            if (*alive && !removed_)
+            if (*alive && !removed_ && scheduled == scheduled_writes_)
                 on_checked(present);
         });
 }
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -387,7 +387,8 @@
     }
 }
 
-/// \returns whether the flow was not reset.
+/// \returns false if the packet cannot be decoded or its flow was reset; the
+/// flow's other kept packets are then discarded.
 bool relay_balancer::on_kept_packet(byte_span packet)
 {
     const auto p = codec_.decode_caller(packet);
--- a/test/dispatch/admission_test.cpp
+++ b/test/dispatch/admission_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(priority_decides_while_work_is_unknown);
     CPPUNIT_TEST(short_work_is_cheaper_than_long_work);
     CPPUNIT_TEST(outdated_work_is_forgotten);
+    CPPUNIT_TEST(unknown_time_is_ignored);
     CPPUNIT_TEST(route_times_are_rarely_reported);
     CPPUNIT_TEST_SUITE_END();
 
@@ -165,6 +166,15 @@
         CPPUNIT_ASSERT_EQUAL(1.0, cost_of(1));
     }
 
+    /// If all times were 0, costs were no numbers and nothing was rejected.
+    void unknown_time_is_ignored()
+    {
+        apply({1, 2});
+        work_.record({{address(0), 0ms}, {address(1), 0ms}});
+        CPPUNIT_ASSERT_EQUAL(0.0, cost_of(0));
+        CPPUNIT_ASSERT_EQUAL(1.0, cost_of(1));
+    }
+
     /// Heartbeats go to all balancers: their size counts.
     void route_times_are_rarely_reported()
     {
--- a/test/dispatch/opening_policy_test.cpp
+++ b/test/dispatch/opening_policy_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST_SUITE(opening_policy_test);
     CPPUNIT_TEST(no_opening_before_the_zones_are_known);
     CPPUNIT_TEST(evacuated_zone_takes_no_opening);
+    CPPUNIT_TEST(copy_of_a_delivered_opening_is_not_returned);
     CPPUNIT_TEST(open_flow_passes_in_an_evacuated_zone);
     CPPUNIT_TEST(server_is_cold_after_the_zone_is_taken_back);
     CPPUNIT_TEST(limit_holds_in_any_sliding_second);
@@ -121,6 +122,19 @@
         CPPUNIT_ASSERT(takes_opening());
     }
 
+    /// Another server would get it, although this one may have the flow.
+    void copy_of_a_delivered_opening_is_not_returned()
+    {
+        send_heartbeat(0);
+        CPPUNIT_ASSERT(takes_opening());
+        policy_->apply_evacuations({1, 2, {"a"}});
+        flow_packet copy = packet(packet_kind::opening);
+        copy.retransmission_count = 1;
+        const gate_verdict verdict = gate_->on_balancer_packet(
+            copy, {forward_mode::opening, make_service_tag("s")}, balancer_);
+        CPPUNIT_ASSERT(verdict.decision == gate_verdict::action::drop);
+    }
+
     /// An outdated balancer may send openings, also forced ones.
     void evacuated_zone_takes_no_opening()
     {
--- a/test/relay/balancer_records_test.cpp
+++ b/test/relay/balancer_records_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(record_is_written_once);
     CPPUNIT_TEST(failed_write_is_repeated);
     CPPUNIT_TEST(missing_record_is_written_again);
+    CPPUNIT_TEST(check_in_progress_does_not_cancel_a_write);
     CPPUNIT_TEST(record_is_removed_when_the_balancer_stops);
     CPPUNIT_TEST(record_is_written_again_after_a_restore);
     CPPUNIT_TEST(balancers_that_start_together_write_at_different_times);
@@ -35,6 +36,8 @@
     std::size_t removals_ = 0;
     std::size_t reads_ = 0;
     result<void> write_outcome_ = ok();
+    bool holds_checks_ = false; ///< The next check stays in progress.
+    std::function<void(result<bool>)> held_check_;
     result<std::vector<endpoint>> list_outcome_ = std::vector<endpoint>();
     std::vector<endpoint> found_;
     bool heard_ = false;
@@ -58,7 +61,13 @@
             done(write_outcome_);
         };
         calls.remove = [this] { ++removals_; };
-        calls.check = [this](const auto& done) { done(present_); };
+        calls.check = [this](const auto& done)
+        {
+            if (holds_checks_)
+                held_check_ = done;
+            else
+                done(present_);
+        };
         auto writer = std::make_unique<record_writer>(timers_, random_, calls);
         writer->start();
         return writer;
@@ -116,6 +125,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), writes_);
     }
 
+    /// The record was lost in a restore of the store while a check was in
+    /// progress; the write that the restore had caused was canceled.
+    void check_in_progress_does_not_cancel_a_write()
+    {
+        const auto writer = start_writer();
+        wait(3s);
+        holds_checks_ = true;
+        wait(1min);
+        writer->start();
+        held_check_(error{errc::store_outcome_unknown});
+        wait(3s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), writes_);
+    }
+
     void record_is_removed_when_the_balancer_stops()
     {
         const auto early = start_writer();
