Tests: one local HTTP server for the tests of platform/

Cause: three test files of platform_test each created a server on loopback and a loop with the same wait, two of them with the same setUp.

Assertions, bounds and what the servers answer are unchanged.

--- a/test/platform/document_reader_test.cpp
+++ b/test/platform/document_reader_test.cpp
@@ -1,7 +1,7 @@
 #include "document_reader.hpp"
 #include "records.hpp"
 
-#include "briarfield/net/http_server.hpp"
+#include "support/local_http_server.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <optional>
@@ -11,11 +11,9 @@
 
 using namespace briarfield;
 using namespace briarfield::platform;
+using namespace briarfield::test;
 using namespace std::chrono_literals;
 
-/// Iterations of the loop after which a wait fails.
-constexpr std::size_t iteration_limit = 20000;
-
 constexpr duration bound = 5s;
 
 /// Reads and watches of object "main" at a server that the test scripts, with
@@ -33,8 +31,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     manual_clock clock_;
-    std::unique_ptr<event_loop> loop_;
-    std::unique_ptr<http_server> server_;
+    std::unique_ptr<local_http_server> server_;
     std::unique_ptr<store_connection> connection_;
     std::shared_ptr<document_reader> reader_;
     std::vector<std::string> queries_;
@@ -44,19 +41,16 @@
 public:
     void setUp() override
     {
-        loop_ = std::move(event_loop::create(clock_).value());
-        server_ = std::move(
-            http_server::create(*loop_, endpoint::parse("127.0.0.1:0").value(),
-                                [this](const http_server_request& request,
-                                       const http_responder& responder)
-                                {
-                                    queries_.push_back(request.query);
-                                    responders_.push_back(responder);
-                                })
-                .value());
-        connection_ = std::make_unique<store_connection>(
-            *loop_, endpoint{endpoint::parse("127.0.0.1:0").value().address,
-                             server_->port()});
+        server_ = std::make_unique<local_http_server>(
+            clock_,
+            [this](const http_server_request& request,
+                   const http_responder& responder)
+            {
+                queries_.push_back(request.query);
+                responders_.push_back(responder);
+            });
+        connection_ = std::make_unique<store_connection>(server_->loop(),
+                                                         server_->address());
         reader_ = std::make_shared<document_reader>(
             *connection_, document_reader::object_id{"config", "main"}, bound);
     }
@@ -66,25 +60,14 @@
         reader_.reset();
         connection_.reset();
         server_.reset();
-        loop_.reset();
     }
 
 private:
-    template <class Done>
-    void run_until(const Done& done)
-    {
-        for (std::size_t iterations = 0; !done(); ++iterations)
-        {
-            CPPUNIT_ASSERT_MESSAGE("no event", iterations < iteration_limit);
-            loop_->timers().schedule(1ms, [] {});
-            loop_->run_once();
-        }
-    }
-
     /// Waits until request number \a count has arrived.
     const http_responder& request(std::size_t count)
     {
-        run_until([this, count] { return responders_.size() >= count; });
+        server_->run_until([this, count]
+                           { return responders_.size() >= count; });
         return responders_[count - 1];
     }
 
@@ -104,7 +87,7 @@
 
     const result<document_state>& outcome()
     {
-        run_until([this] { return outcome_.has_value(); });
+        server_->run_until([this] { return outcome_.has_value(); });
         return *outcome_;
     }
 
@@ -128,7 +111,7 @@
             if (start > 0)
                 clock_.advance(pause);
             responder.push(body.substr(start, size));
-            run_until([this] { return reader_->response_arriving(); });
+            server_->run_until([this] { return reader_->response_arriving(); });
             settle();
         }
     }
@@ -140,9 +123,9 @@
         for (int i = 0; i < 50; ++i)
         {
             bool fired = false;
-            loop_->timers().schedule(0ms, [&fired] { fired = true; });
+            server_->loop().timers().schedule(0ms, [&fired] { fired = true; });
             while (!fired)
-                loop_->run_once();
+                server_->loop().run_once();
         }
     }
 
@@ -200,7 +183,7 @@
         read();
         request(2);
         responders_[0].begin_stream(200);
-        run_until(
+        server_->run_until(
             [this]
             {
                 responders_[0].push(" ");
--- a/test/platform/evacuation_list_test.cpp
+++ b/test/platform/evacuation_list_test.cpp
@@ -1,6 +1,6 @@
 #include "evacuation_list.hpp"
 
-#include "briarfield/net/http_server.hpp"
+#include "support/local_http_server.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
@@ -11,9 +11,7 @@
 
 using namespace briarfield;
 using namespace briarfield::platform;
-
-/// Iterations of the loop after which a wait for a response fails.
-constexpr std::size_t iteration_limit = 20000;
+using namespace briarfield::test;
 
 result<http_response> response(int status, const std::string& body)
 {
@@ -91,7 +89,6 @@
     void all_pages_are_read()
     {
         steady_clock clock;
-        auto loop = std::move(event_loop::create(clock).value());
         const std::map<std::string, std::string> pages = {
             {"", R"({"items":[{"meta":{"Name":"a"}}],"More":true,"AsOf":5})"},
             {"after=a",
@@ -99,21 +96,17 @@
             // As the server decodes it.
             {"after=b c",
              R"({"items":[{"meta":{"Name":"d"}}],"More":false,"AsOf":7})"}};
-        auto server = std::move(
-            http_server::create(*loop, endpoint::parse("127.0.0.1:0").value(),
-                                [&pages](const http_server_request& request,
-                                         const http_responder& responder)
-                                {
-                                    const auto page = pages.find(request.query);
-                                    if (page == pages.end())
-                                        return responder.reply(404, "{}");
-                                    responder.reply(200, page->second);
-                                })
-                .value());
-        store_connection store(
-            *loop,
-            endpoint::parse("127.0.0.1:" + std::to_string(server->port()))
-                .value());
+        local_http_server server(clock,
+                                 [&pages](const http_server_request& request,
+                                          const http_responder& responder)
+                                 {
+                                     const auto page =
+                                         pages.find(request.query);
+                                     if (page == pages.end())
+                                         return responder.reply(404, "{}");
+                                     responder.reply(200, page->second);
+                                 });
+        store_connection store(server.loop(), server.address());
         std::optional<evacuated_zones> read;
         evacuation_calls(store).read(
             [&read](const result<evacuated_zones>& zones)
@@ -121,12 +114,7 @@
                 CPPUNIT_ASSERT(zones);
                 read = zones.value();
             });
-        for (std::size_t i = 0; !read; ++i)
-        {
-            CPPUNIT_ASSERT_MESSAGE("no response", i < iteration_limit);
-            loop->timers().schedule(std::chrono::milliseconds(1), [] {});
-            loop->run_once();
-        }
+        server.run_until([&read] { return read.has_value(); });
         CPPUNIT_ASSERT((read->zones == std::vector<std::string>{"a", "d"}));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, read->revision);
     }
--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -1,7 +1,7 @@
 #include "store_client.hpp"
 #include "stored_object.hpp"
 
-#include "briarfield/net/http_server.hpp"
+#include "support/local_http_server.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
@@ -13,9 +13,7 @@
 
 using namespace briarfield;
 using namespace briarfield::platform;
-
-/// Iterations of the loop after which a wait for a response fails.
-constexpr std::size_t iteration_limit = 20000;
+using namespace briarfield::test;
 
 /// Objects in a page of a list.
 constexpr std::size_t page_size = 50;
@@ -43,8 +41,7 @@
     using object_map = std::map<std::string, nlohmann::json>; ///< By name.
 
     steady_clock clock_;
-    std::unique_ptr<event_loop> loop_;
-    std::unique_ptr<http_server> server_;
+    std::unique_ptr<local_http_server> server_;
     std::unique_ptr<store_client> client_;
     flow_checkpoint::calls calls_;
     std::vector<std::string> methods_; ///< HTTP methods of the requests.
@@ -58,13 +55,10 @@
 public:
     void setUp() override
     {
-        loop_ = std::move(event_loop::create(clock_).value());
-        server_ = std::move(
-            http_server::create(*loop_, endpoint::parse("127.0.0.1:0").value(),
-                                [this](const http_server_request& request,
-                                       const http_responder& responder)
-                                { respond(request, responder); })
-                .value());
+        server_ = std::make_unique<local_http_server>(
+            clock_, [this](const http_server_request& request,
+                           const http_responder& responder)
+            { respond(request, responder); });
         start_client();
     }
 
@@ -72,15 +66,13 @@
     {
         client_.reset();
         server_.reset();
-        loop_.reset();
     }
 
 private:
     void start_client()
     {
-        client_ = std::make_unique<store_client>(
-            *loop_, endpoint{endpoint::parse("127.0.0.1:0").value().address,
-                             server_->port()});
+        client_ =
+            std::make_unique<store_client>(server_->loop(), server_->address());
         calls_ = client_->checkpoint("side-1");
     }
 
@@ -142,17 +134,6 @@
         return {{"items", items}, {"More", i != objects_.end()}};
     }
 
-    template <class Done>
-    void run_until(const Done& done)
-    {
-        for (std::size_t iterations = 0; !done(); ++iterations)
-        {
-            CPPUNIT_ASSERT_MESSAGE("no response", iterations < iteration_limit);
-            loop_->timers().schedule(std::chrono::milliseconds(1), [] {});
-            loop_->run_once();
-        }
-    }
-
     errc save(std::size_t flows)
     {
         const std::vector<std::uint8_t> bytes(36, 1);
@@ -161,7 +142,7 @@
         std::optional<errc> outcome;
         calls_.save(all, [&outcome](const result<void>& saved)
                     { outcome = saved ? errc::ok : saved.error().code; });
-        run_until([&outcome] { return outcome.has_value(); });
+        server_->run_until([&outcome] { return outcome.has_value(); });
         return *outcome;
     }
 
@@ -177,7 +158,7 @@
                 if (loaded)
                     flows = loaded.value().size();
             });
-        run_until([&answered] { return answered; });
+        server_->run_until([&answered] { return answered; });
         return flows;
     }
 
@@ -238,7 +219,7 @@
             era_ = era;
             objects_ = std::move(older_copy);
             client_->checkpoint("side-2").load([](const auto&) {});
-            run_until([&] { return restores == seen; });
+            server_->run_until([&] { return restores == seen; });
         };
         era_ = "7";
         save(1);
@@ -275,7 +256,7 @@
     {
         std::optional<result<T>> outcome;
         call([&outcome](const result<T>& r) { outcome = r; });
-        run_until([&outcome] { return outcome.has_value(); });
+        server_->run_until([&outcome] { return outcome.has_value(); });
         return *outcome;
     }
 
@@ -353,9 +334,7 @@
     /// removal would have been unconditional.
     void refused_removal_shows_that_the_object_exists()
     {
-        store_connection store(
-            *loop_,
-            {endpoint::parse("127.0.0.1:0").value().address, server_->port()});
+        store_connection store(server_->loop(), server_->address());
         const auto object =
             std::make_shared<stored_object>(store, "kind", "name");
         const auto save = [&](const auto& done) { object->save(1, done); };
