--- a/include/briarfield/dispatch/search_progress.hpp
+++ b/include/briarfield/dispatch/search_progress.hpp
@@ -108,6 +108,9 @@
     }
 
 private:
+    std::vector<outstanding_query>::const_iterator
+    find(agent_index agent) const;
+
     time_point started_;
     std::uint32_t sequence_;
     std::size_t queried_ = 0;
--- a/include/briarfield/dispatch/server_gate.hpp
+++ b/include/briarfield/dispatch/server_gate.hpp
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -214,10 +215,9 @@
         bool balancer_notified = false;
         bool in_progress = false;
         service_time_gauge::request_id request = 0; ///< The last one.
-        bool closed = false; ///< One end has closed or reset it.
-        bool closed_by_caller = false;
-        bool closed_by_server = false;
-        bool ended = false; ///< Closed by both ends, or reset by the server.
+        bool closed_by_caller = false;              ///< Or reset.
+        bool closed_by_server = false;              ///< Or reset.
+        bool reset_by_server = false;
         bool sent_by_server = false; ///< The server has sent any packet.
         /// The server had sent packets before a copy of an opening arrived, so
         /// that the flow may be open although sent_by_server is false.
@@ -226,21 +226,34 @@
         bool packet_kept = false;
         bool answered = false; ///< The server has sent data after accepting.
         short_packet probe;    ///< See \ref probes.
+
+        /// Whether one end has closed or reset it.
+        bool closed() const { return closed_by_caller || closed_by_server; }
+
+        /// Whether no end sends on it. A reset of the caller counts like its
+        /// last data: it may be a late one of an earlier flow, which the server
+        /// ignores.
+        bool ended() const
+        {
+            return (closed_by_caller && closed_by_server) || reset_by_server;
+        }
     };
 
+    std::optional<gate_verdict> rejection(const flow_packet& packet,
+                                          forward_info info,
+                                          const endpoint& from);
     std::uint16_t position_of(const endpoint& balancer);
     void record_packet(const flow_packet& packet,
                        forward_info info,
                        std::uint16_t balancer);
+    static void begin_flow(tracked_flow& record);
     duration end_request(tracked_flow& record, bool answered = false);
     void record_work(const flow_key& key, duration took);
     void record_answer_time(const tracked_flow& record);
     void record_outcome(const tracked_flow& record, const flow_packet& packet);
     void close(tracked_flow& record);
-    static void close_by_caller(tracked_flow& record);
-    static void close_by_server(tracked_flow& record, packet_kind kind);
     bool balancer_kept_packet(const flow_key& key, std::size_t balancer) const;
-    void stop_counting_idle(tracked_flow& record);
+    void stop_counting(tracked_flow& record);
     void remove_flow(const flow_key& key);
     void record_returned(const flow_key& key);
     void record_returned_opening();
--- a/include/briarfield/relay/kept_packets.hpp
+++ b/include/briarfield/relay/kept_packets.hpp
@@ -45,12 +45,16 @@
     std::size_t size() const { return size_; }
 
     /// \brief Called with a packet when its time has come; the bytes are valid
-    /// until it returns.
+    /// until \ref on_passed returns.
     ///
     /// If it keeps the packet again, the flow's others wait with it. \returns
     /// whether they are to be passed, otherwise; if not, they are discarded.
     std::function<bool(byte_span packet)> on_due;
 
+    /// \brief Called after the packets of a flow were passed to \ref on_due.
+    /// May be empty.
+    std::function<void()> on_passed;
+
 private:
     using buffer = std::vector<std::uint8_t>; ///< Headroom and packet.
 
@@ -62,7 +66,7 @@
     };
 
     void set_timer(const flow_key& flow, entry& kept, duration delay);
-    bool pass(buffer& packet);
+    void pass(const flow_key& flow, std::vector<buffer>& packets);
 
     timer_queue* timers_;
     std::size_t headroom_;
--- a/src/control/dispatch_messages.cpp
+++ b/src/control/dispatch_messages.cpp
@@ -67,7 +67,9 @@
     }
 }
 
-void write_flow_id(wire::FlowId::Builder writer, const flow_key& key)
+/// Writes a flow into a message with the fields of wire::FlowId.
+template <class Builder>
+void write_flow_id(Builder writer, const flow_key& key)
 {
     write_endpoint(writer.initSource(), {key.source, key.source_port});
     write_endpoint(writer.initDestination(),
@@ -98,10 +100,7 @@
 void write(wire::DispatchDatagram::Builder root, const flow_held_message& m)
 {
     auto writer = root.initHeld();
-    write_endpoint(writer.initSource(), {m.key.source, m.key.source_port});
-    write_endpoint(writer.initDestination(),
-                   {m.key.destination, m.key.destination_port});
-    writer.setProtocol(static_cast<std::uint8_t>(m.key.protocol));
+    write_flow_id(writer, m.key);
     write_endpoint(writer.initAgent(), m.agent);
 }
 
@@ -177,7 +176,9 @@
     return all;
 }
 
-result<flow_key> read_flow_id(wire::FlowId::Reader reader)
+/// Reads a flow from a message with the fields of wire::FlowId.
+template <class Reader>
+result<flow_key> read_flow_id(Reader reader)
 {
     BOOST_OUTCOME_TRY(source, read_endpoint(reader.getSource()));
     BOOST_OUTCOME_TRY(destination, read_endpoint(reader.getDestination()));
@@ -213,11 +214,9 @@
 
 result<dispatch_message> read(wire::FlowHeld::Reader reader)
 {
-    BOOST_OUTCOME_TRY(source, read_endpoint(reader.getSource()));
-    BOOST_OUTCOME_TRY(destination, read_endpoint(reader.getDestination()));
     flow_held_message m;
-    m.key = {source.address, destination.address, source.port, destination.port,
-             static_cast<transport>(reader.getProtocol())};
+    BOOST_OUTCOME_TRY(key, read_flow_id(reader));
+    m.key = key;
     BOOST_OUTCOME_TRY(agent_value, read_endpoint(reader.getAgent()));
     m.agent = agent_value;
     return dispatch_message(m);
--- a/src/dispatch/flow_query_queue.cpp
+++ b/src/dispatch/flow_query_queue.cpp
@@ -36,7 +36,8 @@
         sent_
             .insert_or_assign(id, query{agent, std::move(flows), clock_->now()})
             .first->second;
-    // A copy: the answer may arrive before the call returns,.
+    // A copy: the answer, which removes the query, may arrive before the call
+    // returns.
     const std::vector<flow_key> to_send = sent.flows;
     if (send)
         send(agent, id, to_send);
--- a/src/dispatch/search_progress.cpp
+++ b/src/dispatch/search_progress.cpp
@@ -32,11 +32,17 @@
     outstanding_.back().attempts = earlier.attempts + 1;
 }
 
+std::vector<outstanding_query>::const_iterator
+search_progress::find(agent_index agent) const
+{
+    return std::find_if(outstanding_.begin(), outstanding_.end(),
+                        [agent](const outstanding_query& q)
+                        { return q.agent == agent; });
+}
+
 outstanding_query search_progress::end_query(agent_index agent)
 {
-    const auto found = std::find_if(outstanding_.begin(), outstanding_.end(),
-                                    [agent](const outstanding_query& q)
-                                    { return q.agent == agent; });
+    const auto found = find(agent);
     if (found == outstanding_.end())
         return {};
     const outstanding_query query = *found;
@@ -75,9 +81,7 @@
 
 unsigned search_progress::attempts(agent_index agent) const
 {
-    const auto found = std::find_if(outstanding_.begin(), outstanding_.end(),
-                                    [agent](const outstanding_query& q)
-                                    { return q.agent == agent; });
+    const auto found = find(agent);
     return found == outstanding_.end() ? 0 : found->attempts;
 }
 
@@ -105,15 +109,11 @@
 
 time_point search_progress::next_due(time_point otherwise) const
 {
-    time_point next = otherwise;
-    bool first = true;
-    for (const outstanding_query& q : outstanding_)
-    {
-        if (first || q.due < next)
-            next = q.due;
-        first = false;
-    }
-    return next;
+    const auto earliest = std::min_element(
+        outstanding_.begin(), outstanding_.end(),
+        [](const outstanding_query& a, const outstanding_query& b)
+        { return a.due < b.due; });
+    return earliest == outstanding_.end() ? otherwise : earliest->due;
 }
 
 } // namespace briarfield
--- a/src/dispatch/server_gate.cpp
+++ b/src/dispatch/server_gate.cpp
@@ -45,6 +45,35 @@
                                              const endpoint& from)
 {
     server_->detect_pause();
+    if (const auto rejected = rejection(packet, info, from))
+        return *rejected;
+    const bool opening = packet.kind == packet_kind::opening;
+    if (opening)
+        record_delivered_opening();
+    const bool has_flow =
+        info.mode == forward_mode::search && has_sent_on(packet.key);
+    const std::uint16_t balancer = position_of(from);
+    record_packet(packet, info, balancer);
+    gate_verdict verdict;
+    verdict.decision = gate_verdict::action::deliver;
+    if (has_flow)
+    {
+        flows_[packet.key].balancer_notified = true;
+        verdict.notify_balancer = true;
+        verdict.balancer = from;
+    }
+    verdict.event = opening ? gate_event::offered : gate_event::delivered;
+    verdict.tag = first_tag + balancer;
+    counters_.add(verdict.event);
+    return verdict;
+}
+
+/// The verdict on an opening that the server does not get; unset if \a packet
+/// is to be delivered.
+std::optional<gate_verdict> server_gate::rejection(const flow_packet& packet,
+                                                   forward_info info,
+                                                   const endpoint& from)
+{
     const bool opening = packet.kind == packet_kind::opening;
     if (opening && info.service != server_->tag())
         return reject(packet, from, gate_event::refused_service,
@@ -79,24 +108,7 @@
     if (allowed == opening_permission::warming)
         return reject(packet, from, gate_event::refused_warming,
                       return_reason::warming);
-    if (opening)
-        record_delivered_opening();
-    const bool has_flow =
-        info.mode == forward_mode::search && has_sent_on(packet.key);
-    const std::uint16_t balancer = position_of(from);
-    record_packet(packet, info, balancer);
-    gate_verdict verdict;
-    verdict.decision = gate_verdict::action::deliver;
-    if (has_flow)
-    {
-        flows_[packet.key].balancer_notified = true;
-        verdict.notify_balancer = true;
-        verdict.balancer = from;
-    }
-    verdict.event = opening ? gate_event::offered : gate_event::delivered;
-    verdict.tag = first_tag + balancer;
-    counters_.add(verdict.event);
-    return verdict;
+    return std::nullopt;
 }
 
 opening_permission server_gate::permission() const
@@ -110,7 +122,7 @@
 bool server_gate::was_delivered(const flow_key& key) const
 {
     const auto found = flows_.find(key);
-    return found != flows_.end() && !found->second.closed;
+    return found != flows_.end() && !found->second.closed();
 }
 
 /// Whether the server has sent a packet of the flow. A balancer that searches
@@ -180,8 +192,7 @@
 bool server_gate::flows_complete()
 {
     completeness_.on_heartbeat(server_->latest().born_ms,
-                               clock_->now() -
-                                   server_->time_since_last_heartbeat());
+                               server_->last_heartbeat());
     return completeness_.complete();
 }
 
@@ -282,7 +293,9 @@
         packet.kind == packet_kind::closing)
     {
         close(record);
-        close_by_server(record, packet.kind);
+        record.closed_by_server = true;
+        record.reset_by_server =
+            record.reset_by_server || packet.kind == packet_kind::reset;
     }
     return verdict;
 }
@@ -455,21 +468,8 @@
     record.balancer = balancer;
     record.packet_kept = info.mode == forward_mode::search && info.packet_kept;
     if (packet.kind == packet_kind::opening)
-    {
-        // The caller has abandoned any earlier flow on this port, unless this
-        // is a late copy of the opening.
-        record.sent_before_opening =
-            !record.ended &&
-            (record.sent_before_opening || record.sent_by_server);
-        record.closed = false;
-        record.closed_by_caller = false;
-        record.closed_by_server = false;
-        record.ended = false;
-        record.sent_by_server = false;
-        record.answered = false;
-        record.probe = short_packet();
-    }
-    if (packet.kind != packet_kind::opening && !record.open && !record.closed)
+        begin_flow(record);
+    if (packet.kind != packet_kind::opening && !record.open && !record.closed())
     {
         // Opened before this agent started, or the server's answer was not
         // seen.
@@ -478,7 +478,7 @@
     }
     if (packet.kind == packet_kind::segment && packet.payload_size == 0)
         record.probe = short_packet(packet.bytes);
-    if (packet.payload_size > 0 && !record.in_progress && !record.closed)
+    if (packet.payload_size > 0 && !record.in_progress && !record.closed())
     {
         if (record.request_start == time_point{} && !recent_openings_.empty())
             recent_openings_.pop_front();
@@ -491,33 +491,30 @@
         packet.kind == packet_kind::closing)
     {
         close(record);
-        close_by_caller(record);
+        record.closed_by_caller = true;
     }
 }
 
-/// A reset of the caller counts like its last data: it may be a late one of an
-/// earlier flow, which the server ignores.
-void server_gate::close_by_caller(tracked_flow& record)
-{
-    record.closed_by_caller = true;
-    record.ended = record.ended || record.closed_by_server;
-}
-
-void server_gate::close_by_server(tracked_flow& record, packet_kind kind)
+/// The caller has abandoned any earlier flow on this port, unless this is a
+/// late copy of the opening.
+void server_gate::begin_flow(tracked_flow& record)
 {
-    record.closed_by_server = true;
-    record.ended =
-        record.ended || record.closed_by_caller || kind == packet_kind::reset;
+    record.sent_before_opening =
+        !record.ended() &&
+        (record.sent_before_opening || record.sent_by_server);
+    record.closed_by_caller = false;
+    record.closed_by_server = false;
+    record.reset_by_server = false;
+    record.sent_by_server = false;
+    record.answered = false;
+    record.probe = short_packet();
 }
 
 /// One end sends no more data; late packets still pass.
 void server_gate::close(tracked_flow& record)
 {
     end_request(record);
-    if (record.open)
-        --open_count_;
-    record.open = false;
-    record.closed = true;
+    stop_counting(record);
 }
 
 duration server_gate::end_request(tracked_flow& record, bool answered)
@@ -534,14 +531,11 @@
     const auto found = flows_.find(key);
     if (found == flows_.end())
         return;
-    end_request(found->second);
-    if (found->second.open)
-        --open_count_;
+    close(found->second);
     flows_.erase(found);
 }
 
-/// Callers that vanish leave flows open, which would count as load.
-void server_gate::stop_counting_idle(tracked_flow& record)
+void server_gate::stop_counting(tracked_flow& record)
 {
     if (record.open)
         --open_count_;
@@ -558,10 +552,11 @@
         if (record.in_progress && now - record.request_start > request_timeout)
             end_request(record);
         const duration idle_time = now - record.last_packet;
+        // Callers that vanish leave flows open, which would count as load.
         if (idle_time > flow_idle_timeout)
-            stop_counting_idle(record);
+            stop_counting(record);
         if (idle_time >
-            (record.ended ? closed_flow_idle_timeout : max_flow_age_))
+            (record.ended() ? closed_flow_idle_timeout : max_flow_age_))
             idle.push_back(key);
     }
     for (const flow_key& key : idle)
--- a/src/relay/flow_checkpoint.cpp
+++ b/src/relay/flow_checkpoint.cpp
@@ -1,5 +1,7 @@
 #include "briarfield/relay/flow_checkpoint.hpp"
 
+#include "random_duration.hpp"
+
 #include <algorithm>
 
 namespace briarfield
@@ -82,10 +84,8 @@
 void flow_checkpoint::schedule_rewrite(duration spread)
 {
     timers_->cancel(rewrite_timer_);
-    const duration delay(static_cast<duration::rep>(
-        random_->below(static_cast<std::uint64_t>(spread.count()))));
     rewrite_timer_ =
-        timers_->schedule(delay,
+        timers_->schedule(random_duration(*random_, spread),
                           [this]
                           {
                               // The save in progress may be lost in the
@@ -101,8 +101,7 @@
 void flow_checkpoint::schedule_save()
 {
     const duration full_interval = interval();
-    const duration jitter(static_cast<duration::rep>(
-        random_->below(static_cast<std::uint64_t>(full_interval.count() / 2))));
+    const duration jitter = random_duration(*random_, full_interval / 2);
     timer_ = timers_->schedule(full_interval - jitter,
                                [this]
                                {
--- a/src/relay/kept_packets.cpp
+++ b/src/relay/kept_packets.cpp
@@ -46,23 +46,26 @@
     flows_.erase(found);
     timers_->cancel(kept.timer);
     size_ -= kept.packets.size();
-    auto next = kept.packets.begin();
-    while (next != kept.packets.end() && pass(*next++))
+    pass(flow, kept.packets);
+    if (on_passed)
+        on_passed();
+}
+
+void kept_packets::pass(const flow_key& flow, std::vector<buffer>& packets)
+{
+    for (auto i = packets.begin(); i != packets.end(); ++i)
     {
+        const byte_span packet(i->data(), i->size());
+        if (!on_due(packet.drop_front(headroom_)))
+            return;
         const auto again = flows_.find(flow);
         if (again == flows_.end())
             continue;
-        size_ += static_cast<std::size_t>(kept.packets.end() - next);
-        std::move(next, kept.packets.end(),
+        size_ += static_cast<std::size_t>(packets.end() - i - 1);
+        std::move(i + 1, packets.end(),
                   std::back_inserter(again->second.packets));
         return;
     }
 }
 
-bool kept_packets::pass(buffer& packet)
-{
-    return on_due(
-        byte_span(packet.data(), packet.size()).drop_front(headroom_));
-}
-
 } // namespace briarfield
--- a/src/relay/relay_agent.cpp
+++ b/src/relay/relay_agent.cpp
@@ -1,6 +1,7 @@
 #include "briarfield/relay/relay_agent.hpp"
 
 #include "message_frame.hpp"
+#include "random_duration.hpp"
 
 #include <algorithm>
 #include <spdlog/spdlog.h>
@@ -213,7 +214,6 @@
     answer.complete = gate_.flows_complete();
     answer.held = gate_.held(query.flows);
     relay_->queue_copy(query.balancer, bytes_of(message_frame(answer)));
-    relay_->flush();
 }
 
 /// Tells a balancer that the server has a flow.
@@ -398,8 +398,7 @@
     const duration interval = awaits_balancers()
                                   ? options_.search_heartbeat_interval
                                   : options_.heartbeat_interval;
-    const duration jitter(static_cast<duration::rep>(
-        random_->below(static_cast<std::uint64_t>(interval.count() / 8))));
+    const duration jitter = random_duration(*random_, interval / 8);
     heartbeat_timer_ = loop_->timers().schedule(interval - jitter, [this]
                                                 { send_periodic_heartbeat(); });
 }
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -201,12 +201,11 @@
 /// Queries share datagrams; a search goes on as soon as answers allow.
 void relay_balancer::connect_search()
 {
-    kept_.on_due = [this](byte_span packet)
+    kept_.on_due = [this](byte_span packet) { return on_kept_packet(packet); };
+    kept_.on_passed = [this]
     {
-        const bool goes_on = on_kept_packet(packet);
         relay_->flush();
         callers_->flush();
-        return goes_on;
     };
     dispatcher_.resume_kept_packet = [this](const flow_key& key)
     { kept_.release(key); };
@@ -416,12 +415,11 @@
     const bool started =
         known_agent == no_agent ||
         agents_.at(known_agent).status.incarnation != status.incarnation;
-    const bool accepted = agents_.on_heartbeat(status);
-    if (accepted && membership_)
+    if (!agents_.on_heartbeat(status))
+        return;
+    if (membership_)
         membership_->view().on_heard(member_kind::agent, status.relay_address,
                                      status.incarnation);
-    if (!accepted)
-        return;
     dispatcher_.on_route_times(status.route_times);
     if (!started)
         return;
