--- a/src/app/logging.cpp
+++ b/src/app/logging.cpp
@@ -1,5 +1,7 @@
 #include "logging.hpp"
 
+#include "setting_row.hpp"
+
 #include <algorithm>
 #include <map>
 #include <memory>
@@ -172,6 +174,20 @@
     return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+namespace
+{
+
+void log_environment(const settings& s)
+{
+    for (const std::string& key : s.environment_keys)
+        spdlog::info("event=setting_from_environment key={} value=\"{}\"", key,
+                     print_value(*find_setting_row(key), s));
+    for (const std::string& variable : s.unfilled_variables)
+        spdlog::warn("event=variable_unfilled variable={}", variable);
+}
+
+} // namespace
+
 void start_logging(const settings& s, log_delivery delivery, line_budget budget)
 {
     const std::string& format =
@@ -184,6 +200,7 @@
                                                          : spdlog::level::warn);
     spdlog::set_default_logger(std::move(logger));
     set_log_level(s);
+    log_environment(s);
 }
 
 void flush_log()
--- a/src/app/logging.hpp
+++ b/src/app/logging.hpp
@@ -55,7 +55,8 @@
     buffered   ///< On \ref flush_log, and on each warning or error.
 };
 
-/// Sets up the log of the process: level, format and rate limit.
+/// Sets up the log of the process: level, format and rate limit; then logs the
+/// settings that come from the environment.
 ///
 /// Lines are written to standard output. While it is not writable, because its
 /// reader is slow, lines are dropped and counted, so that writing never blocks.
--- a/src/app/setting_row.cpp
+++ b/src/app/setting_row.cpp
@@ -244,6 +244,24 @@
     return std::string(section) + "." + std::string(key);
 }
 
+std::string setting_row::variable() const
+{
+    std::string name =
+        "BRIARFIELD_" + std::string(section) + "_" + std::string(key);
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c)
+                   { return static_cast<char>(std::toupper(c)); });
+    return name;
+}
+
+const setting_row* find_setting_row(const std::string& path)
+{
+    const auto* found = std::find_if(setting_rows_begin(), setting_rows_end(),
+                                     [&path](const setting_row& r)
+                                     { return r.path() == path; });
+    return found == setting_rows_end() ? nullptr : found;
+}
+
 std::string expected_value(const setting_row& r)
 {
     std::string text = std::visit(syntax_of{&r}, r.member);
--- a/src/app/setting_row.hpp
+++ b/src/app/setting_row.hpp
@@ -112,6 +112,9 @@
 
     /// "section.key".
     std::string path() const;
+
+    /// Environment variable that sets the key: BRIARFIELD_SECTION_KEY.
+    std::string variable() const;
 };
 
 /// Starts a row; the type of \a member determines the syntax of the value.
@@ -128,6 +131,9 @@
 /// One past the last row of the table.
 const setting_row* setting_rows_end();
 
+/// Row of the key "section.key"; null if there is none.
+const setting_row* find_setting_row(const std::string& path);
+
 /// Describes the valid values of \a r: "a duration such as 250ms, 30s, 5min or
 /// 2h, from 1s to 24h".
 std::string expected_value(const setting_row& r);
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -6,6 +6,7 @@
 #include "briarfield/core/nearest_name.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <cstring>
 #include <fstream>
 #include <ini.h>
@@ -24,14 +25,6 @@
 constexpr std::size_t error_limit = 50;        // Errors reported per file.
 constexpr std::size_t quoted_text_limit = 200; // Bytes of a value in an error.
 
-const setting_row* find_row(const std::string& path)
-{
-    const auto* found = std::find_if(setting_rows_begin(), setting_rows_end(),
-                                     [&path](const setting_row& r)
-                                     { return r.path() == path; });
-    return found == setting_rows_end() ? nullptr : found;
-}
-
 std::vector<std::string> all_paths()
 {
     std::vector<std::string> paths;
@@ -40,18 +33,26 @@
     return paths;
 }
 
+/// Whether nobody has filled in a placeholder of \a value.
+bool is_unfilled(const std::string& value)
+{
+    return value.find("{{") != std::string::npos;
+}
+
 /// Passes a text to inih line by line, since inih reports no line numbers to
 /// its value handler.
 class settings_parser
 {
 public:
-    settings_parser(std::string_view text, std::string file)
-        : rest_(text), file_(std::move(file))
+    settings_parser(std::string_view text, std::string file, daemon_role role)
+        : rest_(text), file_(std::move(file)), role_(role)
     {
         report_.values = default_settings();
+        report_.values.source_file = file_;
+        report_.values.role = role;
     }
 
-    settings_report run(daemon_role role)
+    settings_report run(const environment_lookup& environment)
     {
         use_heap_lines();
         const int syntax_error_line =
@@ -61,9 +62,9 @@
                     "found neither a [section], a key = value nor a comment");
         if (syntax_error_line < 0)
             fail_at(line_, errc::settings_syntax, "the file is too large");
-        check_required(role);
-        report_.values.source_file = file_;
-        report_.values.role = role;
+        if (environment)
+            read_variables(environment);
+        check_required();
         return std::move(report_);
     }
 
@@ -116,7 +117,7 @@
 
     void set_key(const std::string& path, std::string value)
     {
-        const setting_row* r = find_row(path);
+        const setting_row* r = find_setting_row(path);
         if (r == nullptr)
             return fail_at(line_, errc::settings_unknown_key,
                            "found key '" + path + "', expected a known key" +
@@ -132,7 +133,7 @@
             value = print_value(*r, report_.values) + " " + value;
         lines_.emplace(path, line_);
         // A template leaves a value empty if the platform does not give it.
-        if (value.empty() && !r->default_value.empty())
+        if (value.empty() && is_optional(*r))
             return;
         if (value.size() > quoted_text_limit &&
             !std::holds_alternative<std::vector<endpoint> settings::*>(
@@ -146,24 +147,60 @@
                     path + ": " + outcome.error().detail);
     }
 
-    void check_required(daemon_role role)
+    /// Whether the daemon starts without a value of \a r.
+    bool is_optional(const setting_row& r) const
+    {
+        return !r.default_value.empty() ||
+               (role_ != daemon_role::any && !r.needed_by(role_));
+    }
+
+    void read_variables(const environment_lookup& environment)
+    {
+        for (const auto* r = setting_rows_begin(); r != setting_rows_end(); ++r)
+        {
+            const auto value = environment(r->variable());
+            if (value && !value->empty())
+                set_from_variable(*r, *value);
+        }
+    }
+
+    void set_from_variable(const setting_row& r, const std::string& value)
+    {
+        settings& s = report_.values;
+        if (is_unfilled(value))
+            return s.unfilled_variables.push_back(r.variable());
+        lines_.emplace(r.path(), 0);
+        auto outcome = set_value(r, s, value);
+        if (outcome)
+            s.environment_keys.push_back(r.path());
+        else
+            add_error(outcome.error().code,
+                      r.variable() + ": " + outcome.error().detail);
+    }
+
+    void check_required()
     {
         for (const auto* r = setting_rows_begin(); r != setting_rows_end(); ++r)
-            if (r->needed_by(role) && lines_.count(r->path()) == 0)
+            if (r->needed_by(role_) && lines_.count(r->path()) == 0)
                 fail_at(line_, errc::settings_missing_key,
                         r->path() + ": found nothing, expected " +
                             expected_value(*r));
     }
 
     void fail_at(int line, errc code, const std::string& text)
+    {
+        add_error(code, file_ + ":" + std::to_string(line) + ": " + text);
+    }
+
+    void add_error(errc code, const std::string& text)
     {
         if (report_.errors.size() < error_limit)
-            report_.errors.emplace_back(
-                code, file_ + ":" + std::to_string(line) + ": " + text);
+            report_.errors.emplace_back(code, text);
     }
 
     std::string_view rest_;
     std::string file_;
+    daemon_role role_;
     int line_ = 0;
     bool continued_ = false; ///< The line continues the previous value.
     std::map<std::string, int> lines_; ///< Line of each key.
@@ -219,25 +256,39 @@
     return s;
 }
 
-settings_report
-parse_settings(std::string_view text, const std::string& file, daemon_role role)
+std::optional<std::string> process_environment(const std::string& name)
+{
+    const char* value = std::getenv(name.c_str());
+    if (value == nullptr)
+        return std::nullopt;
+    return std::string(value);
+}
+
+settings_report parse_settings(std::string_view text,
+                               const std::string& file,
+                               daemon_role role,
+                               const environment_lookup& environment)
 {
-    return settings_parser(text, file).run(role);
+    return settings_parser(text, file, role).run(environment);
 }
 
-settings_report read_settings(const std::string& file, daemon_role role)
+settings_report read_settings(const std::string& file,
+                              daemon_role role,
+                              const environment_lookup& environment)
 {
     auto text = read_file(file);
     if (text)
-        return parse_settings(text.value(), file, role);
+        return parse_settings(text.value(), file, role, environment);
     settings_report report;
     report.errors.push_back(text.error());
     return report;
 }
 
-result<settings> load_settings(const std::string& file, daemon_role role)
+result<settings> load_settings(const std::string& file,
+                               daemon_role role,
+                               const environment_lookup& environment)
 {
-    settings_report report = read_settings(file, role);
+    settings_report report = read_settings(file, role, environment);
     if (report.errors.empty())
         return std::move(report.values);
     const error& first = report.errors.front();
@@ -291,7 +342,12 @@
         "The file is INI: `[section]` lines, `key = value` lines, comments "
         "after `;` or `#`. A\nlist may continue on the next line, indented. "
         "\"Needed by\" names the daemons that do not\nstart without the key; "
-        "\"Reload\" tells whether SIGHUP applies a change.\n";
+        "\"Reload\" tells whether SIGHUP applies a change.\n\n"
+        "The environment variable `BRIARFIELD_SECTION_KEY`, in capitals, sets "
+        "a key as well,\nand takes precedence: "
+        "`BRIARFIELD_RELAY_SEED_PORT=8166`. A variable that is empty,\nor "
+        "still holds a placeholder in double braces, is passed over; so is an "
+        "empty value\nof a key that the daemon does not need.\n";
     std::string_view section;
     for (const auto* r = setting_rows_begin(); r != setting_rows_end(); ++r)
     {
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -6,6 +6,8 @@
 #include "briarfield/core/error.hpp"
 
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -84,9 +86,11 @@
     std::string log_level;
     std::string log_format;
 
-    // Not keys of the file: daemon, file name and command line options.
+    // Not keys of the file: daemon, sources and command line options.
     daemon_role role = daemon_role::any;
     std::string source_file;
+    std::vector<std::string> environment_keys; ///< "section.key" of each.
+    std::vector<std::string> unfilled_variables;
     std::string log_level_option;
     std::string log_format_option;
 };
@@ -98,23 +102,42 @@
     std::vector<error> errors;
 };
 
-/// Parses an INI text; errors name \a file.
+/// Value of the environment variable \a name; nothing if it is not set.
+using environment_lookup =
+    std::function<std::optional<std::string>(const std::string& name)>;
+
+/// Environment of this process.
+std::optional<std::string> process_environment(const std::string& name);
+
+/// Parses an INI text, then the variables of \a environment, which take
+/// precedence; errors name \a file or the variable.
 ///
-/// Errors, each with file, line, key, the value found and the value expected:
-/// errc::settings_syntax, errc::settings_unknown_key,
+/// The variable of a key is BRIARFIELD_SECTION_KEY, in capitals. A variable
+/// that is empty, or still holds a placeholder in double braces, is passed
+/// over, and so is an empty value of a key that the daemon does not need. An
+/// unfilled variable is listed in settings::unfilled_variables.
+///
+/// Errors, each with file and line or variable, key, the value found and the
+/// value expected: errc::settings_syntax, errc::settings_unknown_key,
 /// errc::settings_bad_value, errc::settings_missing_key.
 settings_report parse_settings(std::string_view text,
                                const std::string& file,
-                               daemon_role role);
+                               daemon_role role,
+                               const environment_lookup& environment = {});
 
-/// Reads \a file; the report holds all errors.
+/// Reads \a file and \a environment; the report holds all errors.
 ///
 /// Errors: those of \ref parse_settings and errc::file_unreadable.
-settings_report read_settings(const std::string& file, daemon_role role);
-
-/// Reads \a file; returns the first error if there is any.
-result<settings> load_settings(const std::string& file,
-                               daemon_role role = daemon_role::any);
+settings_report
+read_settings(const std::string& file,
+              daemon_role role,
+              const environment_lookup& environment = process_environment);
+
+/// Reads \a file and \a environment; returns the first error if there is any.
+result<settings>
+load_settings(const std::string& file,
+              daemon_role role = daemon_role::any,
+              const environment_lookup& environment = process_environment);
 
 /// Settings with all keys at their defaults.
 settings default_settings();
--- a/test/app/settings_test.cpp
+++ b/test/app/settings_test.cpp
@@ -4,7 +4,9 @@
 
 #include "support/temporary_directory.hpp"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 #include <set>
 
 namespace
@@ -42,6 +44,12 @@
     CPPUNIT_TEST(rows_are_complete);
     CPPUNIT_TEST(values_and_defaults_are_read);
     CPPUNIT_TEST(empty_value_leaves_the_default);
+    CPPUNIT_TEST(empty_value_of_a_key_that_is_not_needed_is_passed_over);
+    CPPUNIT_TEST(variables_of_the_environment_take_precedence);
+    CPPUNIT_TEST(variables_without_a_value_leave_the_default);
+    CPPUNIT_TEST(variables_can_give_required_keys);
+    CPPUNIT_TEST(errors_name_the_variable);
+    CPPUNIT_TEST(reload_keeps_what_the_environment_gives);
     CPPUNIT_TEST(effective_settings_parse_to_the_same_values);
     CPPUNIT_TEST(errors_state_file_line_key_found_and_expected);
     CPPUNIT_TEST(all_errors_are_reported);
@@ -58,6 +66,26 @@
         return parse_settings(text, "f.ini", role);
     }
 
+    using variables = std::map<std::string, std::string>;
+
+    static environment_lookup environment_of(const variables& all)
+    {
+        return [all](const std::string& name) -> std::optional<std::string>
+        {
+            const auto found = all.find(name);
+            if (found == all.end())
+                return std::nullopt;
+            return found->second;
+        };
+    }
+
+    static settings_report parse_with(const variables& all,
+                                      const std::string& text = "",
+                                      daemon_role role = daemon_role::any)
+    {
+        return parse_settings(text, "f.ini", role, environment_of(all));
+    }
+
     static std::string first_error(const std::string& text)
     {
         const settings_report r = parse(text);
@@ -101,6 +129,94 @@
         CPPUNIT_ASSERT(!parse("[store]\naddress =\n").errors.empty());
     }
 
+    /// A platform that gives no region must not keep a daemon from starting
+    /// that needs none.
+    void empty_value_of_a_key_that_is_not_needed_is_passed_over()
+    {
+        const std::string text = "[instance]\nregion =\n";
+        const auto names_region = [](const settings_report& r)
+        {
+            return std::any_of(r.errors.begin(), r.errors.end(),
+                               [](const error& e) {
+                                   return e.detail.find("instance.region") !=
+                                          std::string::npos;
+                               });
+        };
+        CPPUNIT_ASSERT(!names_region(parse(text, daemon_role::relay_balancer)));
+        CPPUNIT_ASSERT(names_region(parse(text, daemon_role::balancer)));
+    }
+
+    void variables_of_the_environment_take_precedence()
+    {
+        const settings_report r =
+            parse_with({{"BRIARFIELD_RELAY_MAX_FLOW_AGE_S", "45"},
+                        {"BRIARFIELD_LOG_LEVEL", "debug"}},
+                       "[relay]\nmax_flow_age_s = 30\n");
+        CPPUNIT_ASSERT(r.errors.empty());
+        CPPUNIT_ASSERT_EQUAL(45U, r.values.relay_max_flow_age_s);
+        CPPUNIT_ASSERT_EQUAL(std::string("debug"), r.values.log_level);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.values.environment_keys.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("relay.max_flow_age_s"),
+                             r.values.environment_keys.front());
+    }
+
+    /// A platform leaves a variable empty, or a placeholder as it is, for what
+    /// it does not have.
+    void variables_without_a_value_leave_the_default()
+    {
+        const settings_report r =
+            parse_with({{"BRIARFIELD_RELAY_MAX_FLOW_AGE_S", "{{A.Field}}"},
+                        {"BRIARFIELD_STORE_EVACUATION_BOUND_MS", ""}},
+                       "[store]\nevacuation_bound_ms = 500\n");
+        CPPUNIT_ASSERT(r.errors.empty());
+        CPPUNIT_ASSERT_EQUAL(60U, r.values.relay_max_flow_age_s);
+        CPPUNIT_ASSERT_EQUAL(500U, r.values.store_evacuation_bound_ms);
+        CPPUNIT_ASSERT(r.values.environment_keys.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             r.values.unfilled_variables.size());
+    }
+
+    void variables_can_give_required_keys()
+    {
+        std::string text = agent_text;
+        text.erase(text.find("region = bagmati\n"), 17);
+        CPPUNIT_ASSERT(!parse(text, daemon_role::agent).errors.empty());
+        const settings_report r =
+            parse_with({{"BRIARFIELD_INSTANCE_REGION", "himal"}}, text,
+                       daemon_role::agent);
+        CPPUNIT_ASSERT(r.errors.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("himal"), r.values.instance_region);
+    }
+
+    void errors_name_the_variable()
+    {
+        const settings_report r =
+            parse_with({{"BRIARFIELD_RELAY_MAX_FLOW_AGE_S", "0"}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, r.errors.size());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("settings_bad_value (103): "
+                        "BRIARFIELD_RELAY_MAX_FLOW_AGE_S: found '0', expected "
+                        "a whole number, from 1 to 86400"),
+            r.errors.front().message());
+    }
+
+    /// A reload must not take what the environment gives for a change of the
+    /// file, which it would refuse.
+    void reload_keeps_what_the_environment_gives()
+    {
+        const temporary_directory directory;
+        const std::string file = directory.write("s.ini", "");
+        const environment_lookup environment =
+            environment_of({{"BRIARFIELD_RELAY_MAX_FLOW_AGE_S", "45"}});
+        settings current =
+            load_settings(file, daemon_role::any, environment).value();
+        directory.write("s.ini", "[log]\nlevel = debug\n");
+        const auto changed = load_settings(file, daemon_role::any, environment);
+        CPPUNIT_ASSERT(apply_reload(current, changed.value()).has_value());
+        CPPUNIT_ASSERT_EQUAL(45U, current.relay_max_flow_age_s);
+        CPPUNIT_ASSERT_EQUAL(std::string("debug"), current.log_level);
+    }
+
     void effective_settings_parse_to_the_same_values()
     {
         const std::string text = effective_settings(parse(agent_text).values);
