A list of agents is confirmed by records that were read, not by time

What callers saw: open flows of living servers were reset by a balancer that had just replaced another one, 6 s after its start.

Cause: membership_view took the list of agents as complete once the balancer had run for 6 s without the store, since agents without balancers find new ones within 4.5 s. They do so by the balancers' records, in the same store. A balancer that some agents know by their seeds hears those alone, and resets the flows of the others as lost.

Change: the list is confirmed only if both kinds of records were read since the start or the last pause. A balancer that serves has read its configuration from the same store. The price: a flow that is really lost is reset later if the records cannot be read.

Test: list_is_not_confirmed_without_the_store, which fails on the earlier code. It replaces store_that_is_down_delays_confirmation_for_a_limited_time, which asked for the confirmation after 6 s and so for this fault.

--- a/include/briarfield/relay/membership_view.hpp
+++ b/include/briarfield/relay/membership_view.hpp
@@ -22,19 +22,16 @@
 ///
 /// Compares the records in the store and the reports of peers with the messages
 /// that the balancer has received. The list of agents is confirmed if both
-/// kinds of records were read, or the store has not responded for
-/// options::store_timeout, and every agent that is recorded or reported has
-/// been heard or given up.
+/// kinds of records were read since the start or the last pause, and every
+/// agent that is recorded or reported has been heard or given up. Time alone
+/// confirms nothing: without the records a balancer and the agents that have
+/// flows may never find each other.
 class membership_view
 {
 public:
     /// \brief Timeouts of the decisions.
     struct options
     {
-        /// Without the store, the list of agents counts as complete this long
-        /// after the start: agents without balancers find new ones within
-        /// 4.5 s.
-        duration store_timeout = std::chrono::seconds(6);
         /// A process that has not been heard for this long after its first
         /// hello is given up. As long as the recovery timeout of
         /// \ref agent_directory, after which a silent agent holds no flows.
--- a/src/relay/membership_view.cpp
+++ b/src/relay/membership_view.cpp
@@ -179,9 +179,7 @@
     const bool complete =
         std::all_of(members_.begin(), members_.end(),
                     [](const member_set& set) { return set.listed; });
-    const bool store_given_up =
-        clock_->now() - running_since_ >= options_.store_timeout;
-    return (complete || store_given_up) && awaited(member_kind::agent) == 0;
+    return complete && awaited(member_kind::agent) == 0;
 }
 
 record_list
--- a/test/relay/membership_view_test.cpp
+++ b/test/relay/membership_view_test.cpp
@@ -15,7 +15,7 @@
 {
     CPPUNIT_TEST_SUITE(membership_view_test);
     CPPUNIT_TEST(recorded_agent_is_awaited_until_it_is_heard);
-    CPPUNIT_TEST(store_that_is_down_delays_confirmation_for_a_limited_time);
+    CPPUNIT_TEST(list_is_not_confirmed_without_the_store);
     CPPUNIT_TEST(silent_agent_is_given_up_until_its_record_changes);
     CPPUNIT_TEST(restarted_agent_that_is_not_heard_is_awaited);
     CPPUNIT_TEST(records_are_read_again_after_a_pause);
@@ -72,11 +72,17 @@
         CPPUNIT_ASSERT(!view_.confirmed());
     }
 
-    void store_that_is_down_delays_confirmation_for_a_limited_time()
+    /// A balancer that some agents found by their seeds, while the store
+    /// refused the records, reset the flows of the others 6 s after its start.
+    void list_is_not_confirmed_without_the_store()
     {
-        wait(5900ms);
+        view_.on_heard(agent, host_endpoint(2, 80), 1);
+        wait(60s);
+        CPPUNIT_ASSERT(!view_.confirmed());
+        view_.on_list(agent, {record(2, 1), record(3, 2)});
+        wait(60s);
         CPPUNIT_ASSERT(!view_.confirmed());
-        wait(100ms);
+        view_.on_list(balancer, {});
         CPPUNIT_ASSERT(view_.confirmed());
     }
 
