Open flows are served before the first configuration

What callers saw: after all balancers had restarted while the store was out, no request on an open flow was answered until the store was back.

Cause: flow_dispatcher dropped every packet until the first configuration. Only openings need one; packets of open flows are served by the agent that has the flow, whatever the route.

Change: without a configuration, packets of open flows are searched for among all agents; openings are dropped as before. An opening that an agent returns to a balancer that has restarted meanwhile is dropped, and no longer reset.

Test: open_flow_is_served_before_the_first_configuration; on the earlier code it fails (expected 1 answer, found 0).

--- a/include/briarfield/dispatch/flow_dispatcher.hpp
+++ b/include/briarfield/dispatch/flow_dispatcher.hpp
@@ -37,7 +37,7 @@
     reset_not_found,     ///< Reset: no server has the flow.
     /// Unknown route; it may be newer than the routes in force here.
     dropped_no_route,
-    dropped_no_routes, ///< No configuration yet.
+    dropped_no_routes, ///< Opening before the first configuration.
     /// Too little information to reject the packet: startup grace, or an
     /// unresponsive server may have taken the flow.
     dropped_settling,
@@ -339,6 +339,7 @@
     collect_candidates(std::uint64_t hash,
                        const flow_location& location,
                        const std::function<bool(agent_index)>& is_candidate);
+    bool lacks_route(const flow_key& key) const;
     dispatch_verdict on_missing_route(const flow_packet& packet);
     dispatch_verdict forward_existing(const flow_packet& packet,
                                       flow_location& location);
--- a/src/dispatch/flow_dispatcher.cpp
+++ b/src/dispatch/flow_dispatcher.cpp
@@ -88,9 +88,9 @@
 dispatch_verdict flow_dispatcher::on_caller_packet(const flow_packet& packet)
 {
     pauses_.check();
-    if (routes_->version() == 0)
+    if (routes_->version() == 0 && packet.kind == packet_kind::opening)
         return drop(dispatch_event::dropped_no_routes);
-    if (routes_->find(destination_of(packet.key)) == nullptr)
+    if (lacks_route(packet.key))
         return report(packet, on_missing_route(packet));
     if (packet.kind == packet_kind::opening)
         return report(packet, on_opening(packet));
@@ -104,6 +104,14 @@
     return report(packet, forward_existing(packet, location));
 }
 
+/// Whether the configuration has no route to the flow's destination. Before the
+/// first configuration any route may exist, and open flows stay where they are.
+bool flow_dispatcher::lacks_route(const flow_key& key) const
+{
+    return routes_->version() != 0 &&
+           routes_->find(destination_of(key)) == nullptr;
+}
+
 /// A flow whose route was removed is reset. If the route is not known here yet,
 /// only an opening can be reset.
 dispatch_verdict flow_dispatcher::on_missing_route(const flow_packet& packet)
@@ -410,7 +418,7 @@
                                                      return_info info)
 {
     pauses_.check();
-    if (routes_->find(destination_of(packet.key)) == nullptr)
+    if (lacks_route(packet.key))
         return report(packet, on_missing_route(packet));
     const agent_index agent = agents_->find(from);
     flow_location* cached = flows_.find(packet.key);
--- a/test/dispatch/flow_dispatcher_test.cpp
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(restarted_balancer_learns_of_unresponsive_agents_from_peers);
     CPPUNIT_TEST(flow_of_a_removed_route_is_reset);
     CPPUNIT_TEST(flow_of_an_unknown_route_is_not_reset);
+    CPPUNIT_TEST(open_flow_is_served_before_the_first_configuration);
     CPPUNIT_TEST(draining_server_gets_no_opening);
     CPPUNIT_TEST(reused_address_gets_no_opening_of_the_old_service);
     CPPUNIT_TEST(reused_port_gets_a_service_of_the_route);
@@ -470,6 +471,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), network_.caller(1).resets_allowed);
     }
 
+    /// Balancers that were restarted while the store was out dropped the
+    /// packets of all open flows until it was back.
+    void open_flow_is_served_before_the_first_configuration()
+    {
+        for (std::size_t s = 0; s < 3; ++s)
+            network_.add_server(datum);
+        const std::size_t configured = network_.add_balancer();
+        const std::size_t restarted = network_.add_balancer();
+        route_set routes;
+        routes.version = 1;
+        routes.routes = {{host_endpoint(250, 80), {{datum, 1}}}};
+        network_.set_routes_of(configured, routes);
+        network_.advance(5s);
+        network_.open(configured, 1);
+        network_.send(restarted, 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), network_.caller(1).answers);
+        network_.open(restarted, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), network_.caller(2).accepted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), network_.caller(2).resets_allowed);
+    }
+
     void draining_server_gets_no_opening()
     {
         start(1, 1);
