relay_balancer: notices and log lines have files of their own

relay_balancer.cpp had 662 lines and did four things. notice_sender composes and sends the notices to balancers and agents; dispatch_log writes the line for a decision. relay_balancer.cpp has 491 lines now.

--- a/include/briarfield/relay/relay_balancer.hpp
+++ b/include/briarfield/relay/relay_balancer.hpp
@@ -8,14 +8,13 @@
 #include "briarfield/net/udp_socket.hpp"
 #include "briarfield/relay/kept_packets.hpp"
 #include "briarfield/relay/membership_tracker.hpp"
-#include "briarfield/relay/notice_plan.hpp"
+#include "briarfield/relay/notice_sender.hpp"
 #include "briarfield/relay/relay_peers.hpp"
 
 #include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace briarfield
@@ -106,7 +105,7 @@
     const endpoint& relay_address() const { return options_.relay; }
 
     /// \brief Differs with each start of the balancer.
-    std::uint64_t incarnation() const { return incarnation_; }
+    std::uint64_t incarnation() const { return options_.incarnation; }
 
 private:
     relay_balancer(event_loop& loop,
@@ -116,8 +115,6 @@
 
     result<void> open();
     void set_log_hooks();
-    void log_overload_rejection(const flow_packet& p,
-                                const admission_request& request);
     void on_caller_batch(const udp_socket::datagram* batch, std::size_t count);
     void on_relay_batch(const udp_socket::datagram* batch, std::size_t count);
     void on_caller_datagram(byte_span datagram);
@@ -138,27 +135,11 @@
     void send_flow_query(const endpoint& agent,
                          std::uint32_t id,
                          const std::vector<flow_key>& flows);
-    /// What a notice tells besides the state of its sender.
-    enum class notice_content : std::uint8_t
-    {
-        no_lists,
-        balancers, ///< Addresses of balancers.
-        all        ///< Addresses of balancers and agents.
-    };
-
-    balancer_notice make_notice(notice_content content);
     void on_evacuation(const std::string& zone, bool evacuated);
     void check_unknown_zones();
     std::size_t agents_in(const std::string& zone) const;
-    std::string frame_for(balancer_notice notice,
-                          const agent_directory::record& agent) const;
-    void send_notice(const endpoint& to, const balancer_notice& notice);
-    notice_plan current_plan();
-    void send_hellos(const std::vector<membership_view::recipient>& to);
     void record_reports(const balancer_notice& notice);
     void send_notices();
-    void send_notices_to_balancers(const notice_plan& plan);
-    void send_notices_to_agents(const notice_plan& plan);
     void run_periodic_check();
 
     event_loop* loop_;
@@ -169,15 +150,11 @@
     agent_directory agents_;
     flow_dispatcher dispatcher_;
     relay_peers peers_;
+    notice_sender notices_;
     std::unique_ptr<membership_tracker> membership_;
     std::unique_ptr<udp_socket> callers_;
     std::unique_ptr<udp_socket> relay_;
-    std::unordered_map<endpoint, time_point, endpoint_hash> last_hello_;
-    std::size_t notice_round_ = 0;
-    std::size_t next_listed_balancer_ = 0; ///< First one in the next notice.
-    std::size_t next_listed_agent_ = 0;    ///< First one in the next notice.
     std::uint64_t malformed_ = 0;
-    std::uint64_t incarnation_;
     kept_packets kept_; ///< Packets that continue searches.
     timer_id query_timer_ = 0;
     timer_id notice_timer_ = 0;
--- a/src/relay/relay_balancer.cpp
+++ b/src/relay/relay_balancer.cpp
@@ -1,10 +1,10 @@
 #include "briarfield/relay/relay_balancer.hpp"
 
 #include "briarfield/dispatch/relay_frame.hpp"
+#include "dispatch_log.hpp"
 #include "message_frame.hpp"
 
 #include <algorithm>
-#include <map>
 #include <spdlog/spdlog.h>
 
 namespace briarfield
@@ -17,35 +17,10 @@
 
 constexpr duration check_interval = 500ms;
 
-/// Maximum addresses in each list of a notice, so that it fits one datagram.
-constexpr std::size_t max_listed_addresses = 40;
-
-/// An agent that another balancer reports is sent another hello notice after
-/// this interval if no heartbeat of it was received.
-constexpr duration hello_interval = 400ms;
-
-/// A balancer that has missed this many notices no longer takes its part in
-/// notifying agents.
-constexpr int missed_notices = 3;
-
 /// The agents of a zone have sent heartbeats within this time, also if the
 /// balancer has just started.
 constexpr duration unknown_zone_delay = 3s;
 
-/// Returns the next addresses of \a all that fit a notice; \a cursor advances
-/// through the list in a circle.
-std::vector<endpoint> next_addresses(const std::vector<endpoint>& all,
-                                     std::size_t& cursor)
-{
-    if (all.size() <= max_listed_addresses)
-        return all;
-    std::vector<endpoint> part;
-    for (std::size_t i = 0; i < max_listed_addresses; ++i)
-        part.push_back(all[(cursor + i) % all.size()]);
-    cursor = (cursor + max_listed_addresses) % all.size();
-    return part;
-}
-
 } // namespace
 
 result<std::unique_ptr<relay_balancer>>
@@ -71,7 +46,11 @@
                   routes_,
                   agents_,
                   std::move(policy)),
-      peers_(loop.timers().time_source()), incarnation_(options.incarnation),
+      peers_(loop.timers().time_source()),
+      notices_({&loop.timers().time_source(), &routes_, &evacuations_, &agents_,
+                &peers_},
+               options.incarnation,
+               options.notice_interval),
       kept_(loop.timers(), relay_frame_overhead)
 {
     add_seeds(options_.seeds);
@@ -91,7 +70,7 @@
 {
     for (const endpoint& address : addresses)
         if (address != options_.relay && peers_.on_peer_reported(address))
-            send_notice(address, make_notice(notice_content::all));
+            notices_.send_to_balancer(address);
     relay_->flush();
 }
 
@@ -112,6 +91,7 @@
                    { on_relay_batch(batch, count); }));
     relay_ = std::move(relay);
     options_.relay = relay_->local();
+    notices_.use_socket(*relay_);
     BOOST_OUTCOME_TRY(callers, udp_socket::create_batched(
                                    *loop_, options_.callers,
                                    [this](const udp_socket::datagram* batch,
@@ -123,54 +103,11 @@
     return ok();
 }
 
-void relay_balancer::log_overload_rejection(const flow_packet& p,
-                                            const admission_request& request)
-{
-    const route_table::entry* route =
-        routes_.find({p.key.destination, p.key.destination_port});
-    spdlog::info("event={} flow={} packet={} copy={} routes={} agents={} "
-                 "priority={} cost={:.2f} expected_ms={} aim_ms={}",
-                 dispatch_event_name(dispatch_event::refused_overloaded),
-                 flow_name(p.key), packet_kind_name(p.kind),
-                 p.retransmission_count, routes_.version(), agents_.size(),
-                 route == nullptr ? lowest_priority : route->priority,
-                 request.cost, whole_ms(request.expected),
-                 whole_ms(request.aim));
-}
-
 void relay_balancer::set_log_hooks()
 {
     dispatcher_.on_decision =
         [this](const flow_packet& p, const dispatch_verdict& verdict)
-    {
-        if (verdict.event == dispatch_event::searched ||
-            verdict.event == dispatch_event::queried)
-            return;
-        if (verdict.event == dispatch_event::refused_overloaded)
-        {
-            log_overload_rejection(p, verdict.rejected);
-            return;
-        }
-        if (verdict.agent == no_agent)
-        {
-            spdlog::info("event={} flow={} packet={} copy={} routes={} "
-                         "agents={} asked={} doubt={}",
-                         dispatch_event_name(verdict.event), flow_name(p.key),
-                         packet_kind_name(p.kind), p.retransmission_count,
-                         routes_.version(), agents_.size(), verdict.queried,
-                         search_uncertainty_name(verdict.uncertainty));
-            return;
-        }
-        const agent_directory::record& record = agents_.at(verdict.agent);
-        spdlog::info("event={} flow={} agent={} copy={} load={:.2f} flows={} "
-                     "heartbeat_age_ms={} routes={}",
-                     dispatch_event_name(verdict.event), flow_name(p.key),
-                     record.status.relay_address.to_string(),
-                     p.retransmission_count, expected_load(record),
-                     record.status.flows + record.placed,
-                     whole_ms(loop_->timers().now() - record.last_heartbeat),
-                     routes_.version());
-    };
+    { log_decision(p, verdict, routes_, agents_, loop_->timers().now()); };
     dispatcher_.on_found =
         [this](const flow_key& key, agent_index agent, std::size_t tried)
     {
@@ -253,7 +190,7 @@
         return;
     // Agents take no opening against the set from now on, and those that have
     // started take openings.
-    send_notices_to_agents(current_plan());
+    notices_.send_to_agents();
     relay_->flush();
 }
 
@@ -425,11 +362,8 @@
         return;
     // An agent discovers all balancers from the first one that replies, and
     // takes no opening before it knows the evacuated zones.
-    const agent_index agent = agents_.find(status.relay_address);
-    relay_->queue_copy(
-        status.relay_address,
-        bytes_of(frame_for(make_notice(notice_content::balancers),
-                           agents_.at(agent))));
+    notices_.greet_started_agent(
+        agents_.at(agents_.find(status.relay_address)));
 }
 
 void relay_balancer::on_message(const flow_held_message& held)
@@ -466,21 +400,15 @@
     const bool lacks_agents =
         notice.agent_count == 0 && agents_.count_alive() > 0;
     if (is_new || lacks_agents)
-        send_notice(notice.relay, make_notice(notice_content::all));
+        notices_.send_to_balancer(notice.relay);
     record_reports(notice);
     try_balancers(notice.balancers);
-    const time_point now = loop_->timers().now();
     for (const endpoint& agent : notice.agents)
     {
         agents_.add_peer_reported(agent);
         const agent_index index = agents_.find(agent);
-        if (index != no_agent && agents_.alive(index))
-            continue;
-        time_point& last_hello = last_hello_[agent];
-        if (last_hello != time_point{} && now - last_hello < hello_interval)
-            continue;
-        last_hello = now;
-        send_notice(agent, make_notice(notice_content::balancers));
+        if (index == no_agent || !agents_.alive(index))
+            notices_.greet_reported_agent(agent);
     }
     if (notice.config_version > routes_.version() && on_newer_routes)
         on_newer_routes(notice.config_version);
@@ -506,7 +434,10 @@
     membership_tracker& membership = *membership_;
     membership.send_hellos =
         [this](const std::vector<membership_view::recipient>& to)
-    { send_hellos(to); };
+    {
+        notices_.send_hellos(to);
+        relay_->flush();
+    };
     membership.balancers = [this] { return peers_.alive(); };
     membership.on_change = [this](bool confirmed)
     {
@@ -532,72 +463,9 @@
     membership.start();
 }
 
-/// The addresses may be outdated, so they become peers only when they respond.
-void relay_balancer::send_hellos(
-    const std::vector<membership_view::recipient>& to)
-{
-    const std::string to_balancers =
-        message_frame(make_notice(notice_content::all));
-    const std::string to_agents =
-        message_frame(make_notice(notice_content::balancers));
-    for (const membership_view::recipient& recipient : to)
-        relay_->queue_copy(recipient.relay,
-                           bytes_of(recipient.kind == member_kind::balancer
-                                        ? to_balancers
-                                        : to_agents));
-    relay_->flush();
-}
-
-balancer_notice relay_balancer::make_notice(notice_content content)
-{
-    balancer_notice notice;
-    notice.relay = options_.relay;
-    notice.incarnation = incarnation_;
-    notice.config_version = routes_.version();
-    notice.agent_count = static_cast<std::uint32_t>(agents_.count_alive());
-    notice.evacuations = evacuations_.current();
-    if (content == notice_content::no_lists)
-        return notice;
-    notice.balancers = next_addresses(peers_.alive(), next_listed_balancer_);
-    if (content == notice_content::balancers)
-        return notice;
-    std::vector<endpoint> tracked;
-    for (std::size_t i = 0; i < agents_.size(); ++i)
-        if (agents_.may_hold_flows(static_cast<agent_index>(i)))
-            tracked.push_back(
-                agents_.at(static_cast<agent_index>(i)).status.relay_address);
-    notice.agents = next_addresses(tracked, next_listed_agent_);
-    return notice;
-}
-
-void relay_balancer::send_notice(const endpoint& to,
-                                 const balancer_notice& notice)
-{
-    relay_->queue_copy(to, bytes_of(message_frame(notice)));
-}
-
-/// Encodes \a notice for \a agent, with the limit of the openings of its
-/// server.
-std::string
-relay_balancer::frame_for(balancer_notice notice,
-                          const agent_directory::record& agent) const
-{
-    if (routes_.version() > 0)
-        notice.warmup_limits = {routes_.limit_of(agent.status.service)};
-    return message_frame(notice);
-}
-
-notice_plan relay_balancer::current_plan()
-{
-    return {options_.relay,
-            peers_.heard_within(missed_notices * options_.notice_interval)};
-}
-
 void relay_balancer::send_notices()
 {
-    const notice_plan plan = current_plan();
-    send_notices_to_balancers(plan);
-    send_notices_to_agents(plan);
+    notices_.send_round();
     relay_->flush();
     const duration interval = agents_.count_alive() == 0
                                   ? options_.search_notice_interval
@@ -606,37 +474,6 @@
         loop_->timers().schedule(interval, [this] { send_notices(); });
 }
 
-void relay_balancer::send_notices_to_balancers(const notice_plan& plan)
-{
-    const std::string with_lists =
-        message_frame(make_notice(notice_content::all));
-    const std::string brief =
-        message_frame(make_notice(notice_content::no_lists));
-    for (const endpoint& peer : peers_.recipients())
-        relay_->queue_copy(peer, bytes_of(plan.gets_lists(peer, notice_round_)
-                                              ? with_lists
-                                              : brief));
-    ++notice_round_;
-}
-
-void relay_balancer::send_notices_to_agents(const notice_plan& plan)
-{
-    const balancer_notice notice = make_notice(notice_content::balancers);
-    // One frame for the agents of each service.
-    std::map<service_tag, std::string> frames;
-    for (std::size_t i = 0; i < agents_.size(); ++i)
-    {
-        const auto index = static_cast<agent_index>(i);
-        const agent_directory::record& agent = agents_.at(index);
-        if (!agents_.alive(index) || !plan.notifies(agent.status.relay_address))
-            continue;
-        std::string& frame = frames[agent.tag];
-        if (frame.empty())
-            frame = frame_for(notice, agent);
-        relay_->queue_copy(agent.status.relay_address, bytes_of(frame));
-    }
-}
-
 void relay_balancer::run_periodic_check()
 {
     agents_.check();
@@ -647,15 +484,7 @@
 
 void relay_balancer::leave()
 {
-    balancer_notice notice;
-    notice.relay = options_.relay;
-    notice.leaving = true;
-    const std::string frame = message_frame(notice);
-    queue_frame(*relay_, peers_.recipients(), frame);
-    for (std::size_t i = 0; i < agents_.size(); ++i)
-        relay_->queue_copy(
-            agents_.at(static_cast<agent_index>(i)).status.relay_address,
-            bytes_of(frame));
+    notices_.send_leave();
     relay_->flush();
 }
 
