--- a/test/dispatch/flow_dispatcher_test.cpp
+++ b/test/dispatch/flow_dispatcher_test.cpp
@@ -81,6 +81,15 @@
         network.advance(5s);
     }
 
+    /// Routes of version 1: \a address to servers of the service datum.
+    static route_set datum_routes(const endpoint& address)
+    {
+        route_set routes;
+        routes.version = 1;
+        routes.routes = {{address, {{datum, 1}}}};
+        return routes;
+    }
+
     std::size_t openings_of(const std::string& service)
     {
         std::size_t n = 0;
@@ -460,10 +469,7 @@
         network_.add_server(datum);
         network_.add_balancer();
         network_.add_balancer();
-        route_set other;
-        other.version = 1;
-        other.routes = {{host_endpoint(251, 80), {{datum, 1}}}};
-        network_.set_routes_of(1, other);
+        network_.set_routes_of(1, datum_routes(host_endpoint(251, 80)));
         network_.advance(5s);
         network_.send(1, 1);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), network_.caller(1).resets_allowed);
@@ -479,10 +485,8 @@
             network_.add_server(datum);
         const std::size_t configured = network_.add_balancer();
         const std::size_t restarted = network_.add_balancer();
-        route_set routes;
-        routes.version = 1;
-        routes.routes = {{host_endpoint(250, 80), {{datum, 1}}}};
-        network_.set_routes_of(configured, routes);
+        network_.set_routes_of(configured,
+                               datum_routes(host_endpoint(250, 80)));
         network_.advance(5s);
         network_.open(configured, 1);
         network_.send(restarted, 1);
